--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,262 @@
+// Package config reads and checks the platform's settings file (TOML) and the
+// operators' own settings (protobuf text format).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"pipitlatch/internal/micros"
+)
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative operator.proto
+
+// Sibling is another controller.
+type Sibling struct {
+	Member  string `toml:"member"`
+	Zone    string `toml:"zone"`
+	Address string `toml:"address"`
+}
+
+// Services are the outside services that a controller calls.
+type Services struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective restates an aim at start or at finish.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Workers are the worker agents' fixed times, in seconds.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State are the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud are the limits of the cloud's interface.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// MachineLimits bound the machine this controller runs on.
+type MachineLimits struct {
+	CPU            float64 `toml:"cpu"`
+	MemoryMB       float64 `toml:"memory_mb"`
+	MaxConnections int     `toml:"max_connections"`
+}
+
+// Settings are the deployment's settings, the same for every controller.
+type Settings struct {
+	Nodes         int           `toml:"nodes"`
+	Zones         []string      `toml:"zones"`
+	SkewMS        float64       `toml:"skew_ms"`
+	Teams         []Team        `toml:"teams"`
+	Objectives    []Objective   `toml:"objectives"`
+	Workers       Workers       `toml:"workers"`
+	State         State         `toml:"state"`
+	Cloud         Cloud         `toml:"cloud"`
+	MachineLimits MachineLimits `toml:"machine_limits"`
+}
+
+// Platform is the settings file that the platform hands to one controller.
+type Platform struct {
+	Member       string    `toml:"member"`
+	Zone         string    `toml:"zone"`
+	Listen       string    `toml:"listen"`
+	InternalAddr string    `toml:"internal_addr"`
+	Siblings     []Sibling `toml:"siblings"`
+	Services     Services  `toml:"services"`
+	Settings     Settings  `toml:"settings"`
+}
+
+// Config is everything a controller is told.
+type Config struct {
+	Platform
+	Operator *Operator
+}
+
+// Load reads and checks both files; operatorPath may be empty. The error of a
+// bad file joins one error a fault, each naming its field.
+func Load(platformPath, operatorPath string) (*Config, error) {
+	raw, err := os.ReadFile(platformPath)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var operator []byte
+	if operatorPath != "" {
+		if operator, err = os.ReadFile(operatorPath); err != nil {
+			return nil, fmt.Errorf("operator settings: %w", err)
+		}
+	}
+	return Parse(raw, operator)
+}
+
+// Parse is Load on the files' contents.
+func Parse(platform, operator []byte) (*Config, error) {
+	c := &Config{Operator: &Operator{}}
+	if err := toml.Unmarshal(platform, &c.Platform); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			return nil, fmt.Errorf("%s: line %d: %s", strings.Join(de.Key(), "."), row, de.Error())
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := prototext.Unmarshal(operator, c.Operator); err != nil {
+		return nil, fmt.Errorf("operator settings: %w", err)
+	}
+	c.defaults()
+	return c, errors.Join(c.check()...)
+}
+
+func orDefault(v *uint32, d uint32) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func (c *Config) defaults() {
+	o := c.Operator
+	if o.KeyPrefix == "" {
+		o.KeyPrefix = "pl/"
+	}
+	orDefault(&o.Queues, 1)
+	orDefault(&o.PermitMs, 2500)
+	orDefault(&o.SilenceMs, uint32(c.Settings.Workers.ReportS*2500))
+	orDefault(&o.IdleKeepS, 90)
+	orDefault(&o.MaxInProgress, uint32(max(8, c.Settings.MachineLimits.MaxConnections/4)))
+	orDefault(&o.MemoryPercent, 70)
+	orDefault(&o.SparePercent, 15)
+}
+
+func (c *Config) check() []error {
+	var errs []error
+	bad := func(field, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+	}
+	address := func(field, v string) {
+		if _, _, err := net.SplitHostPort(v); err != nil {
+			bad(field, "not an address with a port: %q", v)
+		}
+	}
+	positive := func(field string, v float64) {
+		if !(v > 0) {
+			bad(field, "must be above 0, is %v", v)
+		}
+	}
+	atLeast0 := func(field string, v float64) {
+		if !(v >= 0) {
+			bad(field, "must not be negative, is %v", v)
+		}
+	}
+	if c.Member == "" {
+		bad("member", "missing")
+	}
+	address("listen", c.Listen)
+	address("internal_addr", c.InternalAddr)
+	address("services.cloud", c.Services.Cloud)
+	address("services.state", c.Services.State)
+	for i, s := range c.Siblings {
+		if s.Member == "" {
+			bad(fmt.Sprintf("siblings[%d].member", i), "missing")
+		}
+		address(fmt.Sprintf("siblings[%d].address", i), s.Address)
+	}
+	s := &c.Settings
+	if s.Nodes < 1 {
+		bad("settings.nodes", "must be at least 1, is %d", s.Nodes)
+	}
+	if len(s.Teams) == 0 {
+		bad("settings.teams", "missing")
+	}
+	names := map[string]bool{}
+	for i, t := range s.Teams {
+		f := fmt.Sprintf("settings.teams[%d].", i)
+		if t.Name == "" || names[t.Name] {
+			bad(f+"name", "missing or given twice: %q", t.Name)
+		}
+		names[t.Name] = true
+		atLeast0(f+"cpus", t.CPUs)
+		atLeast0(f+"cpus_max", t.CPUsMax)
+		atLeast0(f+"gpus", t.GPUs)
+		atLeast0(f+"gpus_max", t.GPUsMax)
+	}
+	positive("settings.workers.report_s", s.Workers.ReportS)
+	positive("settings.workers.lease_s", s.Workers.LeaseS)
+	positive("settings.workers.cancel_s", s.Workers.CancelS)
+	positive("settings.state.rps", s.State.RPS)
+	positive("settings.state.write_rps", s.State.WriteRPS)
+	positive("settings.state.value_kb", s.State.ValueKB)
+	if s.State.TxnOps < 4 {
+		bad("settings.state.txn_ops", "must be at least 4, is %d", s.State.TxnOps)
+	}
+	positive("settings.cloud.rps", s.Cloud.RPS)
+	atLeast0("settings.cloud.list_lag_s", s.Cloud.ListLagS)
+	positive("settings.machine_limits.memory_mb", s.MachineLimits.MemoryMB)
+	if s.MachineLimits.MaxConnections < 16 {
+		bad("settings.machine_limits.max_connections", "must be at least 16, is %d", s.MachineLimits.MaxConnections)
+	}
+	if s.Workers.LeaseS > 0 && s.Workers.CancelS > 0 && c.Term() <= 0 {
+		bad("settings.workers.cancel_s", "leaves no term beyond lease_s: %v", s.Workers.CancelS)
+	}
+	if c.Operator.PermitMs < 500 || c.Operator.PermitMs > 600_000 {
+		bad("operator.permit_ms", "must be 500 to 600000, is %d", c.Operator.PermitMs)
+	}
+	if c.Operator.MemoryPercent > 100 {
+		bad("operator.memory_percent", "must be at most 100, is %d", c.Operator.MemoryPercent)
+	}
+	if strings.ContainsAny(c.Operator.KeyPrefix, " \t\n") || len(c.Operator.KeyPrefix) > 60 {
+		bad("operator.key_prefix", "must be at most 60 bytes without spaces")
+	}
+	return errs
+}
+
+// Lease is the worker lease.
+func (c *Config) Lease() micros.Time { return micros.FromSeconds(c.Settings.Workers.LeaseS) }
+
+// LeaseRunOut is how long after a holder's last possible answer a worker's
+// lease has surely ended: drift on both sides, timer steps and a hop added.
+func (c *Config) LeaseRunOut() micros.Time {
+	l := c.Lease()
+	return l + l/500 + 500*micros.Millisecond
+}
+
+// Term is how long a holder may answer its workers without news from the state
+// service. Term + lease_s + margins <= cancel_s: a holder that is cut off alone
+// from the state service does not see a cancellation, and the cancelled tasks
+// must still end in time.
+func (c *Config) Term() micros.Time {
+	cancel := micros.FromSeconds(c.Settings.Workers.CancelS)
+	return cancel - c.LeaseRunOut() - cancel/500 - micros.Second
+}
--- /dev/null
+++ b/internal/coordination/core.go
@@ -0,0 +1,258 @@
+package coordination
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/coordination/fleet"
+	"pipitlatch/internal/coordination/lease"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// tickEvery is how often timers are looked at.
+const tickEvery = 50 * micros.Millisecond
+
+// Core is the state machine of one controller.
+type Core struct {
+	cfg   *config.Config
+	proc  storage.Process
+	teams map[string]*bookkeeping.Team
+	keys  storage.Keys
+
+	now, wall micros.Time
+	out       *Output
+
+	nextCall uint64
+	pending  map[uint64]func(any)
+
+	catalog   bookkeeping.Catalog
+	catalogAt micros.Time
+	catalogOn bool // a call is out
+
+	budget *storage.Budget
+	session
+	barrier
+	holders  map[int]*holder
+	ends     map[storage.Process]micros.Time // when a process was first known dead
+	peers    map[string]*peerView
+	progress map[string]JobProgress
+	leader   leaderState
+	stats    *bookkeeping.RunTimes
+	faults   *fleet.Faults
+	statusAt micros.Time
+	statusUp bool // send the status soon
+}
+
+type peerView struct {
+	at     micros.Time
+	status *Status
+}
+
+// New starts a controller's core; incarnation must be new with every process.
+func New(cfg *config.Config, incarnation string) *Core {
+	keys := storage.Keys{Prefix: cfg.Operator.KeyPrefix}
+	c := &Core{
+		cfg: cfg, proc: storage.Process{Member: cfg.Member, Incarnation: incarnation},
+		teams: bookkeeping.Teams(cfg), keys: keys, pending: map[uint64]func(any){},
+		budget:  storage.NewBudget(cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.Nodes),
+		holders: map[int]*holder{}, ends: map[storage.Process]micros.Time{},
+		peers: map[string]*peerView{}, progress: map[string]JobProgress{},
+		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
+	}
+	c.session.replica = storage.NewReplica(keys)
+	c.session.term = lease.Term{Length: cfg.Term()}
+	c.leader.exhausted = fleet.NewExhausted()
+	return c
+}
+
+// Step takes inputs at a time: steady is a clock that never goes back, wall the
+// time of day.
+func (c *Core) Step(steady, wall micros.Time, inputs ...Input) *Output {
+	c.now, c.wall = max(c.now, steady), wall
+	c.out = &Output{}
+	for _, in := range inputs {
+		c.input(in)
+	}
+	c.tick()
+	c.out.Wake = c.now + tickEvery
+	return c.out
+}
+
+func (c *Core) input(in Input) {
+	switch in := in.(type) {
+	case *Submit:
+		c.submit(in)
+	case *Lookup:
+		c.lookup(in)
+	case *Cancel:
+		c.cancel(in)
+	case *ReportIn:
+		c.report(in)
+	case *StateDone:
+		c.complete(in.Call, in.Reply)
+	case *CloudDone:
+		c.complete(in.Call, in.Reply)
+	case *WorkerDone:
+		c.complete(in.Call, in.Reply)
+	case *Status:
+		c.heard(in)
+	}
+}
+
+func (c *Core) complete(call uint64, reply any) {
+	// A completion that comes twice, or was never asked for, has no effect.
+	if done := c.pending[call]; done != nil {
+		delete(c.pending, call)
+		done(reply)
+	}
+}
+
+func (c *Core) call(done func(any)) uint64 {
+	c.nextCall++
+	c.pending[c.nextCall] = done
+	return c.nextCall
+}
+
+// callState sends a request to the state service if the budget allows.
+func (c *Core) callState(r *storage.Request, urgent bool, timeout micros.Time, done func(*storage.Reply)) bool {
+	if !c.budget.Take(c.now, r.Writes(), urgent) {
+		return false
+	}
+	id := c.call(func(v any) { done(v.(*storage.Reply)) })
+	c.out.State = append(c.out.State, StateCall{id, r, timeout})
+	return true
+}
+
+func (c *Core) callCloud(call CloudCall, done func(*CloudReply)) {
+	call.Call = c.call(func(v any) { done(v.(*CloudReply)) })
+	c.out.Cloud = append(c.out.Cloud, call)
+}
+
+func (c *Core) callWorker(call WorkerCall, done func(*WorkerReply)) {
+	call.Call = c.call(func(v any) { done(v.(*WorkerReply)) })
+	c.out.Workers = append(c.out.Workers, call)
+}
+
+// Log levels, as in log/slog.
+const (
+	levelDebug = -4
+	levelInfo  = 0
+	levelWarn  = 4
+)
+
+func (c *Core) log(level int, text string, args ...any) {
+	c.out.Log = append(c.out.Log, LogLine{level, text, args})
+}
+
+func (c *Core) tick() {
+	c.tickSession()
+	c.tickBarrier()
+	c.tickCatalog()
+	c.tickLeader()
+	for _, n := range sortedKeys(c.holders) {
+		c.holders[n].tick()
+	}
+	c.tickStatus()
+}
+
+// tickCatalog fetches the machine types; prices move, so they are fetched anew
+// now and then.
+func (c *Core) tickCatalog() {
+	every := 60 * micros.Second
+	if c.catalog == nil {
+		every = micros.Second
+	}
+	if c.catalogOn || (c.catalogAt != 0 && c.now-c.catalogAt < every) {
+		return
+	}
+	c.catalogOn, c.catalogAt = true, c.now
+	c.callCloud(CloudCall{Kind: CloudCatalog, Timeout: 3 * micros.Second}, func(r *CloudReply) {
+		c.catalogOn = false
+		if r.Outcome == CloudOK && len(r.Catalog) > 0 {
+			c.catalog = r.Catalog
+			for _, h := range c.holders {
+				h.dirty = true
+			}
+		}
+	})
+}
+
+// Healthy tells whether the controller can take users' requests. A controller
+// that alone is refused by the state service says no; in an outage for all of
+// them, everybody stays: being taken out would outlast the outage.
+func (c *Core) Healthy() bool {
+	if !c.synced || c.catalog == nil {
+		return false
+	}
+	if c.term.Age(c.now) < 4*micros.Second {
+		return true
+	}
+	for _, p := range c.peers {
+		if c.now-p.at < 2*micros.Second && p.status.StateOK {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) stateOK() bool { return c.synced && c.term.Age(c.now) < 3*micros.Second }
+
+// tickStatus tells the siblings how things stand.
+func (c *Core) tickStatus() {
+	every := 500 * micros.Millisecond
+	if c.statusUp {
+		every = 100 * micros.Millisecond
+	}
+	if c.now-c.statusAt < every {
+		return
+	}
+	c.statusAt, c.statusUp = c.now, false
+	s := &Status{From: c.proc, Revision: c.replica.Revision, StateOK: c.stateOK()}
+	for _, n := range sortedKeys(c.holders) {
+		h := c.holders[n]
+		s.Queues = append(s.Queues, h.status())
+		s.Progress = append(s.Progress, h.progress()...)
+	}
+	s.Gone = c.leader.recentlyGone(c.now)
+	for _, p := range c.cfg.Siblings {
+		mine := *s
+		mine.Shifts = c.leader.shifts[p.Member]
+		c.out.Peers = append(c.out.Peers, PeerSend{p.Member, &mine})
+	}
+	for _, sh := range c.leader.shifts[c.proc.Member] {
+		c.shift(sh)
+	}
+	c.leader.shifts = nil
+	c.heard(s)
+}
+
+// heard takes a status, our own included. Nothing in it is believed that the
+// stream of changes must tell, except that a machine is gone: that is a fact
+// which nothing makes untrue.
+func (c *Core) heard(s *Status) {
+	c.peers[s.From.Member] = &peerView{c.now, s}
+	for _, m := range s.Gone {
+		for _, h := range c.holders {
+			h.machineGone(m)
+		}
+	}
+	if s.From != c.proc {
+		for _, sh := range s.Shifts {
+			c.shift(sh)
+		}
+	}
+	if len(c.progress) > 4096 {
+		clear(c.progress) // for display only
+	}
+	for _, p := range s.Progress {
+		c.progress[p.ID] = p
+	}
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/coordination/fleet/fleet.go
@@ -0,0 +1,220 @@
+// Package fleet decides which machines to rent, and counts a machine's faults.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+)
+
+// Need asks for room for a number of tasks of one kind.
+type Need struct {
+	Each    bookkeeping.Resources
+	Count   int
+	Spot    bool
+	Types   []string
+	Zone    string
+	Service bool
+	Hold    micros.Time // how long the room is expected to be used
+}
+
+// Offer is one thing that can be rented.
+type Offer struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// Rental is a number of machines of one offer.
+type Rental struct {
+	Offer
+	Count int
+}
+
+// Exhausted remembers refused offers for a while.
+type Exhausted struct {
+	until map[Offer]micros.Time
+	step  map[Offer]micros.Time
+}
+
+// Pauses after a refusal: doubled at every further one.
+const (
+	firstPause = 4 * micros.Second
+	lastPause  = 16 * micros.Second
+)
+
+// NewExhausted remembers nothing yet.
+func NewExhausted() *Exhausted {
+	return &Exhausted{until: map[Offer]micros.Time{}, step: map[Offer]micros.Time{}}
+}
+
+// Refuse notes that the cloud had too few of the offer.
+func (e *Exhausted) Refuse(o Offer, now micros.Time) {
+	e.step[o] = min(lastPause, max(firstPause, 2*e.step[o]))
+	e.until[o] = now + e.step[o]
+}
+
+// Grant notes that the cloud had what was asked for.
+func (e *Exhausted) Grant(o Offer) { delete(e.step, o) }
+
+// Now tells whether the offer is not to be tried yet.
+func (e *Exhausted) Now(o Offer, now micros.Time) bool { return now < e.until[o] }
+
+// room is a rented machine being filled.
+type room struct {
+	Offer
+	free bookkeeping.Resources
+}
+
+func (n *Need) allows(o Offer) bool {
+	return (n.Spot || !o.Spot) && (n.Zone == "" || n.Zone == o.Zone) &&
+		(len(n.Types) == 0 || slices.Contains(n.Types, o.Type))
+}
+
+// Choose rents for the needs, in their order, what costs least a task over boot
+// and use, at most limit machines in all. Room left on a machine chosen for one
+// need is used for the next.
+func Choose(needs []Need, catalog bookkeeping.Catalog, exhausted func(Offer) bool, limit int) []Rental {
+	types := make([]*bookkeeping.MachineType, 0, len(catalog))
+	for _, t := range catalog {
+		types = append(types, t)
+	}
+	slices.SortFunc(types, func(a, b *bookkeeping.MachineType) int { return cmp.Compare(a.Name, b.Name) })
+	var rooms []*room
+	for i := range needs {
+		n := &needs[i]
+		left := int64(n.Count)
+		for _, r := range rooms {
+			if left > 0 && n.allows(r.Offer) {
+				k := min(left, n.Each.Count(r.free))
+				r.free = r.free.Sub(n.Each.Times(k))
+				left -= k
+			}
+		}
+		taken := map[Offer]bool{}
+		for left > 0 && len(rooms) < limit {
+			best, bestCost := (*room)(nil), 0.0
+			for _, t := range types {
+				slots := n.Each.Count(t.Capacity)
+				if slots == 0 {
+					continue
+				}
+				for _, zone := range t.Zones {
+					for _, spot := range []bool{true, false} {
+						o := Offer{t.Name, zone, spot}
+						if !n.allows(o) || exhausted(o) || taken[o] {
+							continue
+						}
+						price := t.Price
+						if spot {
+							price = t.SpotPrice
+						}
+						cost := price * micros.Seconds(t.Boot+n.Hold) / float64(min(slots, left))
+						if best == nil || cost < bestCost {
+							best, bestCost = &room{o, t.Capacity}, cost
+						}
+					}
+				}
+			}
+			if best == nil {
+				break
+			}
+			// One of each offer a turn: what the cloud has of it shows in its answer.
+			if countOf(rooms, best.Offer) >= 3 {
+				taken[best.Offer] = true
+			}
+			k := min(left, n.Each.Count(best.free))
+			best.free = best.free.Sub(n.Each.Times(k))
+			left -= k
+			rooms = append(rooms, best)
+		}
+	}
+	var out []Rental
+	for _, r := range rooms {
+		if i := slices.IndexFunc(out, func(o Rental) bool { return o.Offer == r.Offer }); i >= 0 {
+			out[i].Count++
+		} else {
+			out = append(out, Rental{r.Offer, 1})
+		}
+	}
+	return out
+}
+
+func countOf(rooms []*room, o Offer) int {
+	n := 0
+	for _, r := range rooms {
+		if r.Offer == o {
+			n++
+		}
+	}
+	return n
+}
+
+// Faults tells faulty machines from mistaken jobs.
+type Faults struct {
+	machine map[string]map[string]int // machine, job: failures since a success there
+	job     map[string]map[string]int // job, machine
+	done    map[string]int            // job: completed tasks
+}
+
+// NewFaults has seen nothing yet.
+func NewFaults() *Faults {
+	return &Faults{machine: map[string]map[string]int{}, job: map[string]map[string]int{}, done: map[string]int{}}
+}
+
+// Failed notes that a task of the job failed on the machine.
+func (f *Faults) Failed(machine, job string) {
+	if f.machine[machine] == nil {
+		f.machine[machine] = map[string]int{}
+	}
+	if f.job[job] == nil {
+		f.job[job] = map[string]int{}
+	}
+	f.machine[machine][job]++
+	f.job[job][machine]++
+}
+
+// Succeeded notes that a task of the job completed on the machine.
+func (f *Faults) Succeeded(machine, job string) {
+	delete(f.machine, machine)
+	f.done[job]++
+}
+
+// Mistaken tells whether the job, not the machines, is to blame: it failed on
+// two machines or more and no task of it ever completed.
+func (f *Faults) Mistaken(job string) bool { return f.done[job] == 0 && len(f.job[job]) >= 2 }
+
+// Faulty tells whether the machine is to blame: since its last success, tasks
+// of two jobs that are not mistaken failed there, or one such job failed twice.
+func (f *Faults) Faulty(machine string) bool {
+	n := 0
+	for job, times := range f.machine[machine] {
+		if !f.Mistaken(job) {
+			n += times
+		}
+	}
+	return n >= 2
+}
+
+// Failures is how often tasks of the job failed.
+func (f *Faults) Failures(job string) int {
+	n := 0
+	for _, k := range f.job[job] {
+		n += k
+	}
+	return n
+}
+
+// ForgetMachine drops what is known of a machine that is gone.
+func (f *Faults) ForgetMachine(machine string) { delete(f.machine, machine) }
+
+// ForgetJob drops what is known of a job that is over.
+func (f *Faults) ForgetJob(job string) {
+	delete(f.job, job)
+	delete(f.done, job)
+	for _, m := range f.machine {
+		delete(m, job)
+	}
+}
--- /dev/null
+++ b/internal/coordination/holder.go
@@ -0,0 +1,986 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/coordination/fleet"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// holder plans one queue and directs its machines, under one lease.
+type holder struct {
+	c      *Core
+	queue  int
+	since  uint64 // version at the change of holder: older jobs may be on silent machines
+	token  uint64 // version now: the fencing token
+	former []storage.Process
+	taken  micros.Time
+
+	machines []*machine // by name
+	jobs     map[string]*job
+	usage    map[string]bookkeeping.Resources // by team
+	counter  uint64
+
+	dirty    bool
+	planAt   micros.Time
+	needs    []fleet.Need
+	lastTick micros.Time
+	calmAt   micros.Time // silence is judged from then on
+}
+
+// job is an active job of the queue.
+type job struct {
+	*bookkeeping.Job
+	version uint64
+	entry   *storage.JobEntry
+	waiting *bookkeeping.TaskSet
+	pending *bookkeeping.TaskSet // finished, not known to be stored
+	live    map[int]*attempt
+	chunks  map[int]bool // with pending tasks
+	storing bool
+	storeAt micros.Time
+	pause   micros.Time // no starts before
+	preempt micros.Time // last time room was made for it
+}
+
+func (j *job) finished(task int) bool {
+	return j.pending.Has(task) || (j.entry.Finished != nil && j.entry.Finished.Has(task))
+}
+
+func (j *job) finishedCount() int {
+	n := j.pending.Len()
+	if j.entry.Finished != nil {
+		n += j.entry.Finished.Len()
+		for t := j.pending.Next(0); t >= 0; t = j.pending.Next(t + 1) {
+			if j.entry.Finished.Has(t) {
+				n--
+			}
+		}
+	}
+	return n
+}
+
+// machine is a machine of the holder's blocks.
+type machine struct {
+	id      string
+	block   storage.BlockRecord
+	version uint64 // of the block's key
+	kind    *bookkeeping.MachineType
+	addr    string
+	session uint64
+	seq     uint64
+	ack     uint64 // highest token it reported
+	known   bool   // its tasks are known, or it surely has none
+	expired bool   // its lease ran out, or its session is over: empty until it reports
+	marking bool   // the record of its use is being written
+
+	added    micros.Time
+	seen     micros.Time // last news
+	answered micros.Time // last answer that may have renewed its lease
+	notice   micros.Time // when the cloud takes it; 0: no notice
+	idle     micros.Time // since when it has had no task; 0: it has
+	draining string      // why it takes no more tasks
+	pause    micros.Time // no starts before
+
+	attempts map[AttemptID]*attempt
+	images   []image // most recently used last
+	outbox   []Command
+	calling  bool
+	callAt   micros.Time
+	probed   micros.Time
+	failed   int // calls without an answer, in a row
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// attempt is one attempt at a task, on its machine.
+type attempt struct {
+	id      AttemptID
+	m       *machine
+	j       *job // nil: the job is over or unknown
+	team    string
+	need    bookkeeping.Resources
+	state   TaskState
+	shown   bool // a report showed it
+	stored  bool // nothing more is to be kept of it
+	open    int  // sends of its start without an answer yet
+	lost    int  // sends of its start that got no answer: they may come late
+	made    micros.Time
+	running micros.Time // since when
+	length  micros.Time // planned
+	stop    bool
+	grace   micros.Time
+	stopped micros.Time // when the stop was first ordered
+	own     bool        // started by this holder
+}
+
+func newHolder(c *Core, n int, v storage.Versioned[storage.QueueRecord]) *holder {
+	h := &holder{c: c, queue: n, since: v.Version, token: v.Version, former: v.Value.Former, taken: c.now,
+		jobs: map[string]*job{}, usage: map[string]bookkeeping.Resources{}, dirty: true, lastTick: c.now,
+		calmAt: c.now}
+	for _, id := range sortedKeys(c.replica.Blocks) {
+		h.blockChanged(id)
+	}
+	for _, id := range sortedKeys(c.replica.Jobs) {
+		h.jobChanged(id)
+	}
+	return h
+}
+
+func (c *Core) queueOf(j *bookkeeping.Job) int {
+	if t := c.teams[j.Team]; t != nil {
+		return t.Queue
+	}
+	return 0
+}
+
+// newToken takes a new token under the same lease: every machine has to
+// acknowledge it before it is given commands again.
+func (h *holder) newToken(v uint64) {
+	if v != h.token {
+		h.token = v
+		h.dirty = true
+	}
+}
+
+// resync compares everything with a fresh copy of the state.
+func (h *holder) resync(old *storage.Replica) {
+	for _, id := range sortedKeys(old.Jobs) {
+		h.jobChanged(id)
+	}
+	for _, id := range sortedKeys(h.c.replica.Jobs) {
+		h.jobChanged(id)
+	}
+	for _, id := range sortedKeys(old.Blocks) {
+		h.blockChanged(id)
+	}
+	for _, id := range sortedKeys(h.c.replica.Blocks) {
+		h.blockChanged(id)
+	}
+}
+
+func (h *holder) machine(id string) *machine {
+	i, ok := slices.BinarySearchFunc(h.machines, id, func(m *machine, id string) int { return cmp.Compare(m.id, id) })
+	if !ok {
+		return nil
+	}
+	return h.machines[i]
+}
+
+func (h *holder) blockChanged(id string) {
+	v, ok := h.c.replica.Blocks[id]
+	m := h.machine(id)
+	switch {
+	case !ok || v.Value.Queue != h.queue:
+		// The leader removes a block only after the cloud confirmed that the
+		// machine is gone, and a block moves only after its holder let go.
+		h.machineGone(id)
+	case m == nil:
+		m = &machine{id: id, block: v.Value, version: v.Version, addr: v.Value.Address, added: h.c.now, seen: h.c.now,
+			attempts: map[AttemptID]*attempt{}, idle: h.c.now}
+		// Nobody starts tasks on a machine before the record says so, and a block
+		// that came after the lease was never a predecessor's.
+		m.known = !v.Value.Used || v.Version > h.since
+		i, _ := slices.BinarySearchFunc(h.machines, id, func(m *machine, id string) int { return cmp.Compare(m.id, id) })
+		h.machines = slices.Insert(h.machines, i, m)
+		h.dirty = true
+	default:
+		m.block, m.version = v.Value, v.Version
+		h.dirty = true
+	}
+}
+
+func (h *holder) machineGone(id string) {
+	m := h.machine(id)
+	if m == nil {
+		return
+	}
+	h.emptied(m)
+	h.machines = slices.DeleteFunc(h.machines, func(o *machine) bool { return o == m })
+	h.c.faults.ForgetMachine(id)
+	h.dirty = true
+	h.c.log(levelInfo, "machine gone", "machine", id, "why", m.draining)
+}
+
+// emptied notes that the machine surely has none of the tasks known so far.
+func (h *holder) emptied(m *machine) {
+	for _, id := range sortedAttempts(m) {
+		a := m.attempts[id]
+		h.leave(a)
+		h.requeue(a)
+		delete(m.attempts, id)
+	}
+	m.outbox = nil
+	m.known = true
+	m.ack = 0
+	if m.idle == 0 {
+		m.idle = h.c.now
+	}
+	h.dirty = true
+}
+
+func sortedAttempts(m *machine) []AttemptID {
+	out := make([]AttemptID, 0, len(m.attempts))
+	for id := range m.attempts {
+		out = append(out, id)
+	}
+	slices.SortFunc(out, func(a, b AttemptID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+	})
+	return out
+}
+
+func (h *holder) jobChanged(id string) {
+	e := h.c.replica.Jobs[id]
+	j := h.jobs[id]
+	if e == nil || e.Job.Phase != bookkeeping.Active || h.c.queueOf(e.Job) != h.queue {
+		if j != nil {
+			h.jobOver(j)
+		}
+		return
+	}
+	if j != nil {
+		j.entry, j.version = e, e.Version
+		return
+	}
+	j = &job{Job: e.Job, version: e.Version, entry: e, waiting: bookkeeping.NewTaskSet(e.Job.Tasks),
+		pending: bookkeeping.NewTaskSet(e.Job.Tasks), live: map[int]*attempt{}, chunks: map[int]bool{}}
+	for t := range e.Job.Tasks {
+		if !j.finished(t) {
+			j.waiting.Add(t)
+		}
+	}
+	h.jobs[id] = j
+	h.dirty = true
+}
+
+// jobOver ends what is left of a job that is done or cancelled.
+func (h *holder) jobOver(j *job) {
+	delete(h.jobs, j.ID)
+	for _, m := range h.machines {
+		for _, id := range sortedAttempts(m) {
+			a := m.attempts[id]
+			if a.j != j {
+				continue
+			}
+			a.j, a.stored = nil, true
+			if a.state != Exited {
+				h.stop(a, 0)
+			}
+		}
+	}
+	h.c.faults.ForgetJob(j.ID)
+	h.dirty = true
+}
+
+// enter and leave count what an attempt takes.
+func (h *holder) enter(a *attempt) {
+	h.usage[a.team] = h.usage[a.team].Add(a.need)
+	a.m.idle = 0
+}
+
+func (h *holder) leave(a *attempt) {
+	if a.state == Exited {
+		return
+	}
+	a.state = Exited
+	h.usage[a.team] = h.usage[a.team].Sub(a.need)
+	for _, o := range a.m.attempts {
+		if o.state != Exited {
+			return
+		}
+	}
+	a.m.idle = h.c.now
+}
+
+// requeue lets the task of an attempt that has ended wait again.
+func (h *holder) requeue(a *attempt) {
+	if a.j == nil || a.j.live[a.id.Task] != a {
+		return
+	}
+	delete(a.j.live, a.id.Task)
+	if !a.j.finished(a.id.Task) {
+		a.j.waiting.Add(a.id.Task)
+	}
+	h.dirty = true
+}
+
+// report answers a worker.
+func (c *Core) report(in *ReportIn) {
+	r := in.Report
+	if !c.synced {
+		c.unavailable(in.Request, "starting")
+		return
+	}
+	b, ok := c.replica.Blocks[r.Machine]
+	if !ok {
+		switch l := c.replica.Leader; {
+		case c.leading():
+			c.leader.found(c, r)
+			c.unavailable(in.Request, "unknown machine")
+		case l.Version != 0 && l.Value.Member != c.proc.Member:
+			c.answer(Answer{Request: in.Request, Kind: Elsewhere, Steward: l.Value.Member})
+		default:
+			c.unavailable(in.Request, "no leader")
+		}
+		return
+	}
+	h := c.holders[b.Value.Queue]
+	if h == nil {
+		q, ok := c.replica.Queues[b.Value.Queue]
+		if ok && q.Value.Holder.Member != c.proc.Member && c.replica.Live(q.Value.Holder) {
+			c.answer(Answer{Request: in.Request, Kind: Elsewhere, Steward: q.Value.Holder.Member})
+		} else {
+			c.unavailable(in.Request, "no holder")
+		}
+		return
+	}
+	h.report(in, h.machine(r.Machine))
+}
+
+func (h *holder) report(in *ReportIn, m *machine) {
+	r := in.Report
+	switch {
+	case m == nil:
+		h.c.unavailable(in.Request, "unknown machine")
+		return
+	case !h.c.term.Valid(h.c.now):
+		// Silence past the term: a cancellation that is not seen here must end
+		// these tasks when the workers' leases run out.
+		h.c.answer(Answer{Request: in.Request, Kind: Elsewhere})
+		return
+	case r.Token > h.token:
+		// The worker would drop a 200 and stay here until its tasks die.
+		h.outranked()
+		h.c.answer(Answer{Request: in.Request, Kind: Elsewhere})
+		return
+	}
+	h.observe(m, r)
+	m.answered = h.c.now
+	h.c.answer(Answer{Request: in.Request, Kind: Orders, Token: h.token, Commands: h.orders(m)})
+}
+
+// outranked: somebody has a higher token, so this lease is over, or about to be
+// renewed; nothing is done until the stream tells.
+func (h *holder) outranked() { h.c.term.Lapse() }
+
+// maxOrders bounds one answer to a worker.
+const maxOrders = 200
+
+// orders are the commands in the answer to a report: they are not executed
+// late, since the worker drops late answers.
+func (h *holder) orders(m *machine) []Command {
+	if m.ack != h.token {
+		return nil
+	}
+	var out []Command
+	for _, id := range sortedAttempts(m) {
+		if len(out) >= maxOrders {
+			break
+		}
+		a := m.attempts[id]
+		switch {
+		case a.state == Exited:
+			// A start that may still arrive would begin a forgotten attempt anew.
+			if a.shown && a.stored && a.open == 0 && a.lost == 0 {
+				out = append(out, Command{Op: Forget, AttemptID: id})
+			}
+		case a.stop:
+			out = append(out, Command{Op: Stop, AttemptID: id, Grace: h.graceLeft(a)})
+		}
+	}
+	return out
+}
+
+// graceLeft ends an attempt at once when its time to save is over.
+func (h *holder) graceLeft(a *attempt) micros.Time {
+	if a.grace == 0 || h.c.now-a.stopped > 2*a.grace+2*micros.Second {
+		return 0
+	}
+	return a.grace
+}
+
+// observe takes a worker's report, from whichever way it came.
+func (h *holder) observe(m *machine, r *Report) {
+	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		return // older than what is known
+	}
+	if r.Session > m.session {
+		if m.session != 0 {
+			h.emptied(m) // the lease ran out: it killed and forgot all its tasks
+		}
+		m.session = r.Session
+		h.dirty = true
+	}
+	if m.expired || h.c.now-m.seen > h.silence() {
+		m.expired = false
+		h.dirty = true
+	}
+	m.seq, m.seen, m.failed = r.Seq, h.c.now, 0
+	if r.Address != "" {
+		m.addr = r.Address
+	}
+	m.notice = 0
+	if r.Notice >= 0 {
+		m.notice = h.c.now + r.Notice
+	}
+	if r.Token > h.token {
+		h.outranked()
+		return
+	}
+	m.ack = r.Token
+	shown := make(map[AttemptID]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		shown[t.AttemptID] = true
+		a := m.attempts[t.AttemptID]
+		if a == nil {
+			a = h.adopt(m, t)
+		}
+		a.shown = true
+		h.update(a, t)
+	}
+	for _, id := range sortedAttempts(m) {
+		a := m.attempts[id]
+		if shown[id] || (!a.shown && a.open+a.lost > 0) {
+			continue
+		}
+		// Forgotten as ordered, or, if it was never shown, surely not started.
+		h.leave(a)
+		h.requeue(a)
+		delete(m.attempts, id)
+	}
+	if m.ack == h.token && !m.known {
+		m.known = true
+		h.dirty = true
+		if !slices.ContainsFunc(h.machines, func(o *machine) bool { return !o.known }) {
+			h.c.log(levelInfo, "all machines known", "queue", h.queue, "after_ms", (h.c.now-h.taken)/micros.Millisecond)
+		}
+	}
+}
+
+// adopt takes an attempt that this holder did not start.
+func (h *holder) adopt(m *machine, t *TaskReport) *attempt {
+	a := &attempt{id: t.AttemptID, m: m, state: t.State, made: h.c.now}
+	m.attempts[a.id] = a
+	a.j = h.jobs[t.Job]
+	if e := h.c.replica.Jobs[t.Job]; e != nil {
+		a.team, a.need = e.Job.Team, e.Job.Need
+	}
+	if a.j != nil && (t.Task < 0 || t.Task >= a.j.Tasks) {
+		a.j = nil
+	}
+	if t.State == Exited {
+		a.state = Fetching // so that update sees it exit
+	}
+	h.enter(a)
+	if a.j == nil {
+		a.stored = true
+		if t.State != Exited {
+			h.stop(a, 0)
+		}
+		return a
+	}
+	if t.State == Exited {
+		return a
+	}
+	if o := a.j.live[t.Task]; o != nil {
+		h.c.log(levelWarn, "task on two machines", "job", t.Job, "task", t.Task, "machine", m.id, "other", o.m.id)
+		a.j = nil
+		a.stored = true
+		h.stop(a, 0)
+		return a
+	}
+	a.j.live[t.Task] = a
+	a.j.waiting.Remove(t.Task)
+	if a.j.finished(t.Task) {
+		h.stop(a, 0)
+	}
+	h.dirty = true
+	return a
+}
+
+func (h *holder) update(a *attempt, t *TaskReport) {
+	if a.state == Exited {
+		return
+	}
+	if t.State != Exited {
+		if t.State == Running && a.state != Running {
+			a.running = h.c.now
+			if a.j != nil {
+				a.m.useImage(a.j.Image, a.j.ImageGB)
+			}
+		}
+		a.state = t.State
+		return
+	}
+	h.leave(a)
+	h.dirty = true
+	if a.j == nil {
+		a.stored = true
+		return
+	}
+	j := a.j
+	switch t.Cause {
+	case CauseDone:
+		if a.own && a.running > 0 {
+			h.c.stats.Observe(j.Class, j.Estimate, h.c.now-a.running)
+		}
+		h.c.faults.Succeeded(a.m.id, j.ID)
+		h.finish(a)
+		return
+	case CauseError:
+		h.c.faults.Failed(a.m.id, j.ID)
+		h.c.log(levelInfo, "task failed", "job", j.ID, "task", a.id.Task, "machine", a.m.id)
+		if h.c.faults.Mistaken(j.ID) {
+			// Failing everywhere: try less and less often, until its user cancels it.
+			j.pause = h.c.now + min(60*micros.Second, micros.Second<<min(6, h.c.faults.Failures(j.ID)))
+		}
+	case CauseNoRoom, CauseBusy:
+		a.m.pause = h.c.now + micros.Second
+		h.c.log(levelInfo, "start refused", "job", j.ID, "task", a.id.Task, "machine", a.m.id, "cause", t.Cause)
+	case CauseUnknown:
+		j.pause = h.c.now + 2*micros.Second
+	}
+	a.stored = true
+	h.requeue(a)
+}
+
+func (m *machine) hasImage(name string) bool {
+	return slices.ContainsFunc(m.images, func(i image) bool { return i.name == name })
+}
+
+// useImage keeps the machine's most recently used images, as its cache does.
+func (m *machine) useImage(name string, gb float64) {
+	if name == "" {
+		return
+	}
+	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == name })
+	m.images = append(m.images, image{name, gb})
+	if m.kind == nil {
+		return
+	}
+	for sum := 0.0; ; sum = 0 {
+		for _, i := range m.images {
+			sum += i.gb
+		}
+		if sum <= m.kind.CacheGB || len(m.images) <= 1 {
+			return
+		}
+		m.images = m.images[1:]
+	}
+}
+
+// finish notes a completed task; its attempt is forgotten once that is stored.
+func (h *holder) finish(a *attempt) {
+	j, t := a.j, a.id.Task
+	if j.live[t] == a {
+		delete(j.live, t)
+	}
+	j.waiting.Remove(t)
+	if j.entry.Finished != nil && j.entry.Finished.Has(t) {
+		a.stored = true
+		return
+	}
+	j.pending.Add(t)
+	j.chunks[t/bookkeeping.ChunkTasks] = true
+}
+
+// partialEvery is how often finished tasks of an unfinished job are stored.
+// Until then their workers keep showing them, so a crash loses nothing.
+const partialEvery = 1500 * micros.Millisecond
+
+// store writes finished ranges, and that the job is done when all are.
+func (h *holder) store(j *job) {
+	if j.storing || len(j.chunks) == 0 || h.c.now < j.storeAt || !h.c.term.Valid(h.c.now) {
+		return
+	}
+	whole := j.Kind == bookkeeping.Array && j.finishedCount() == j.Tasks
+	if !whole && j.storeAt == 0 {
+		j.storeAt = h.c.now + partialEvery
+		return
+	}
+	maxOps := h.c.cfg.Settings.State.TxnOps
+	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{
+		{Key: h.c.keys.Queue(h.queue), Version: h.token},
+		{Key: h.c.keys.Job(j.ID), Version: j.version},
+	}}
+	written := map[int]*bookkeeping.TaskSet{}
+	if whole {
+		r.Puts = append(r.Puts, storage.Put{Key: h.c.keys.Job(j.ID), Value: storage.Encode(j.Final(bookkeeping.Done))})
+		for _, chunk := range sortedKeys(j.entry.FinVersion) {
+			if len(r.Deletes)+1 < maxOps {
+				r.Deletes = append(r.Deletes, h.c.keys.Fin(j.ID, chunk))
+			}
+		}
+	} else {
+		all := bookkeeping.NewTaskSet(j.Tasks)
+		for t := range j.Tasks {
+			if j.finished(t) {
+				all.Add(t)
+			}
+		}
+		for _, chunk := range sortedKeys(j.chunks) {
+			if len(r.Puts) >= maxOps {
+				break
+			}
+			key := h.c.keys.Fin(j.ID, chunk)
+			// The chunk's own version keeps a late copy of an older write from
+			// taking finished tasks back.
+			r.Conditions = append(r.Conditions, storage.Condition{Key: key, Version: j.entry.FinVersion[chunk]})
+			r.Puts = append(r.Puts, storage.Put{Key: key, Value: storage.Encode(all.Ranges(chunk))})
+			written[chunk] = all
+		}
+	}
+	j.storing = h.c.callState(r, whole, stateTimeout, func(reply *storage.Reply) {
+		j.storing = false
+		j.storeAt = h.c.now + 300*micros.Millisecond
+		if reply.Outcome != storage.OK {
+			return
+		}
+		// The stream brings the same to the replica; what is stored now may be
+		// forgotten by the workers.
+		j.storeAt = h.c.now + partialEvery
+		for _, m := range h.machines {
+			for _, a := range m.attempts {
+				if a.j == j && a.state == Exited && (whole || has(written[a.id.Task/bookkeeping.ChunkTasks], a.id.Task)) {
+					a.stored = true
+				}
+			}
+		}
+		for chunk, set := range written {
+			left := false
+			lo := chunk * bookkeeping.ChunkTasks
+			for t := j.pending.Next(lo); t >= 0 && t < lo+bookkeeping.ChunkTasks; t = j.pending.Next(t + 1) {
+				left = left || !set.Has(t)
+			}
+			if !left {
+				delete(j.chunks, chunk)
+			}
+		}
+		if whole {
+			clear(j.chunks)
+		}
+	})
+}
+
+// stop orders an attempt to end.
+func (h *holder) stop(a *attempt, grace micros.Time) {
+	if a.state == Exited || (a.stop && a.grace <= grace) {
+		return
+	}
+	a.stop, a.grace = true, grace
+	if a.stopped == 0 {
+		a.stopped = h.c.now
+	}
+	a.m.outbox = append(a.m.outbox, Command{Op: Stop, AttemptID: a.id, Grace: grace})
+}
+
+// silence is how long a machine may go without news.
+func (h *holder) silence() micros.Time {
+	return micros.Time(h.c.cfg.Operator.SilenceMs) * micros.Millisecond
+}
+
+// usable tells whether tasks may be started on the machine.
+func (h *holder) usable(m *machine) bool {
+	return m.known && !m.expired && m.ack == h.token && m.session != 0 && m.block.Used && m.draining == "" &&
+		m.notice == 0 && m.addr != "" && h.c.now-m.seen < h.silence()
+}
+
+// lastAnswer is when a worker of this machine can last have had an answer that
+// renewed its lease: ours, or a predecessor's, whose answers end with its term,
+// or with its process if that is known to be dead.
+func (h *holder) lastAnswer(m *machine) micros.Time {
+	last := h.taken
+	if m.version <= h.since || m.block.Used {
+		for _, p := range h.former {
+			end, dead := h.c.ends[p]
+			if !dead {
+				end = h.taken + h.c.cfg.Term()
+			}
+			last = max(last, end)
+		}
+	}
+	return max(last, m.answered)
+}
+
+func (h *holder) tick() {
+	now := h.c.now
+	if now-h.lastTick > micros.Second {
+		// This process did not run for a while: the silence was ours.
+		h.calmAt = now
+		for _, m := range h.machines {
+			m.seen = max(m.seen, now-h.silence()/2)
+		}
+	}
+	h.lastTick = now
+	if !h.c.term.Valid(now) {
+		return
+	}
+	for _, m := range slices.Clone(h.machines) {
+		h.tickMachine(m)
+	}
+	for _, id := range sortedKeys(h.jobs) {
+		h.store(h.jobs[id])
+	}
+	h.schedule()
+	for _, m := range h.machines {
+		h.send(m)
+	}
+}
+
+func (h *holder) tickMachine(m *machine) {
+	now := h.c.now
+	if m.kind == nil && h.c.catalog != nil {
+		m.kind = h.c.catalog[m.block.Type]
+	}
+	if m.session != 0 && m.ack == h.token && !m.block.Used {
+		h.markUsed(m)
+	}
+	up := m.session != 0 || m.block.Used
+	quiet := now - max(m.seen, h.calmAt)
+	if up && !m.expired && now > h.lastAnswer(m)+h.c.cfg.LeaseRunOut() && quiet > h.silence() {
+		h.c.log(levelInfo, "machine's lease ran out", "machine", m.id)
+		h.emptied(m)
+		m.expired = true
+	}
+	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (quiet > h.silence()*2/3 || (m.ack != h.token && now-h.taken > 200*micros.Millisecond)) {
+		m.probed = now
+		h.probe(m)
+	}
+	if m.draining == "" {
+		switch {
+		case up && quiet > h.silence()+micros.Second/2 && (m.failed > 0 || m.addr == "") && !h.manySilent():
+			h.drain(m, "silent")
+		case !up && m.kind != nil && now-m.added > 3*m.kind.Boot+10*micros.Second:
+			h.drain(m, "never came up")
+		case h.c.faults.Faulty(m.id):
+			h.drain(m, "faulty")
+		case h.unresolved(m):
+			// A start that is no longer wanted may still arrive: only the end of the
+			// machine, or of its session, settles that.
+			h.drain(m, "unresolved")
+		}
+	}
+	if m.draining == "silent" && quiet < micros.Second && h.usableBut(m) {
+		m.draining = "" // it came back before it was deleted
+		h.dirty = true
+	}
+}
+
+// unresolved tells whether a start was sent in vain, is no longer wanted, and
+// has not been settled for a good part of a worker's lease.
+func (h *holder) unresolved(m *machine) bool {
+	for _, a := range m.attempts {
+		if a.stop && !a.shown && a.lost > 0 && h.c.now-a.stopped > h.c.cfg.Lease()/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// usableBut is usable apart from draining.
+func (h *holder) usableBut(m *machine) bool {
+	return m.known && !m.expired && m.ack == h.token && m.session != 0
+}
+
+func (h *holder) drain(m *machine, why string) {
+	m.draining = why
+	h.c.statusUp = true
+	h.dirty = true
+	h.c.log(levelInfo, "machine drains", "machine", m.id, "why", why, "attempts", len(m.attempts))
+}
+
+// manySilent tells whether so many machines are silent at once that the fault
+// is more likely near this controller than at each of them.
+func (h *holder) manySilent() bool {
+	silent, up := 0, 0
+	for _, m := range h.machines {
+		if m.session == 0 && !m.block.Used {
+			continue
+		}
+		up++
+		if h.c.now-m.seen > h.silence() {
+			silent++
+		}
+	}
+	return silent > 2 && silent*2 > up
+}
+
+// markUsed writes that the machine is in use, before its first task.
+func (h *holder) markUsed(m *machine) {
+	if m.marking {
+		return
+	}
+	b := m.block
+	b.Used, b.Address = true, m.addr
+	m.marking = h.c.callState(&storage.Request{Kind: storage.Commit,
+		Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token}, {Key: h.c.keys.Block(m.id), Version: m.version}},
+		Puts:       []storage.Put{{Key: h.c.keys.Block(m.id), Value: storage.Encode(b)}},
+	}, true, stateTimeout, func(r *storage.Reply) {
+		m.marking = false
+	})
+}
+
+// probe asks a machine for its report: directly, under our token once its
+// session is known, so that it acknowledges it.
+func (h *holder) probe(m *machine) {
+	h.callMachine(m, nil, m.session == 0)
+}
+
+// send sends what waits for a machine.
+func (h *holder) send(m *machine) {
+	if m.calling || len(m.outbox) == 0 || m.ack != h.token || m.session == 0 || m.addr == "" || h.c.now < m.callAt {
+		return
+	}
+	n := min(len(m.outbox), maxOrders)
+	batch := slices.Clone(m.outbox[:n])
+	m.outbox = slices.Delete(m.outbox, 0, n)
+	for i := range batch {
+		a := m.attempts[batch[i].AttemptID]
+		if a != nil && batch[i].Op == Start {
+			a.open++
+		}
+	}
+	h.callMachine(m, batch, false)
+}
+
+func (h *holder) callMachine(m *machine, batch []Command, show bool) {
+	m.calling = true
+	session, token := m.session, h.token
+	h.c.callWorker(WorkerCall{Machine: m.id, Address: m.addr, Token: token, Session: session, Commands: batch, Show: show,
+		Timeout: 1500 * micros.Millisecond}, func(r *WorkerReply) {
+		m.calling = false
+		if h.c.holders[h.queue] != h || h.machine(m.id) != m {
+			return
+		}
+		if r.Report != nil && r.Report.Machine != m.id {
+			r.Report = nil // an address that another machine has now
+			m.addr = ""
+		}
+		for _, cmd := range batch {
+			a := m.attempts[cmd.AttemptID]
+			if a == nil || cmd.Op != Start {
+				continue
+			}
+			a.open--
+			if r.Report == nil && m.session == session {
+				a.lost++ // it may still be executed, even minutes later
+			}
+		}
+		if r.Report == nil {
+			m.failed++
+			m.callAt = h.c.now + 300*micros.Millisecond
+			if m.session == session {
+				// The same attempts again: repeating them is safe.
+				m.outbox = append(h.stillWanted(m, batch), m.outbox...)
+			}
+			return
+		}
+		h.observe(m, r.Report)
+	})
+}
+
+// stillWanted are the commands of a lost batch that are worth sending again.
+func (h *holder) stillWanted(m *machine, batch []Command) []Command {
+	var out []Command
+	for _, cmd := range batch {
+		a := m.attempts[cmd.AttemptID]
+		if a == nil || a.state == Exited || (cmd.Op == Start && (a.stop || a.shown)) {
+			continue
+		}
+		out = append(out, cmd)
+	}
+	return out
+}
+
+// status is what the leader is told of the queue.
+func (h *holder) status() QueueStatus {
+	s := QueueStatus{Queue: h.queue, Token: h.token, Needs: h.needs}
+	if !h.c.term.Valid(h.c.now) {
+		return s
+	}
+	for _, m := range h.machines {
+		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || h.empty(m)) {
+			s.Release = append(s.Release, m.id)
+		} else if h.usable(m) && h.empty(m) {
+			s.Idle = append(s.Idle, m.id)
+		}
+	}
+	return s
+}
+
+// empty tells whether nothing on the machine matters any more.
+func (h *holder) empty(m *machine) bool {
+	if m.calling || len(m.outbox) > 0 {
+		return false
+	}
+	for _, a := range m.attempts {
+		if a.state != Exited || !a.stored || a.open+a.lost > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *holder) progress() []JobProgress {
+	var out []JobProgress
+	for _, id := range sortedKeys(h.jobs) {
+		j := h.jobs[id]
+		p := JobProgress{ID: id, Done: j.finishedCount()}
+		for _, a := range j.live {
+			if a.state == Running || a.state == Saving {
+				p.Running++
+			}
+		}
+		if p.Running > 0 || p.Done > 0 || h.c.progress[id] != (JobProgress{}) {
+			out = append(out, p)
+		}
+		if len(out) == 500 {
+			break
+		}
+	}
+	return out
+}
+
+// shift moves an empty machine to another queue: this holder has let go, and
+// both queues get new tokens in the same transaction, so that the machine obeys
+// the new holder only, and that one only after the machine acknowledged it.
+func (c *Core) shift(s Shift) {
+	b, ok := c.replica.Blocks[s.Machine]
+	h := c.holders[b.Value.Queue]
+	if !ok || h == nil || s.To == h.queue || !c.term.Valid(c.now) {
+		return
+	}
+	to, ok := c.replica.Queues[s.To]
+	m := h.machine(s.Machine)
+	if !ok || m == nil || m.draining != "" || !h.empty(m) {
+		return
+	}
+	from := c.replica.Queues[h.queue]
+	rec := b.Value
+	rec.Queue = s.To
+	h.drain(m, "moving")
+	if !c.callState(&storage.Request{Kind: storage.Commit,
+		Conditions: []storage.Condition{{Key: c.keys.Queue(h.queue), Version: h.token}, {Key: c.keys.Queue(s.To), Version: to.Version},
+			{Key: c.keys.Block(m.id), Version: m.version}},
+		Puts: []storage.Put{{Key: c.keys.Block(m.id), Value: storage.Encode(rec)},
+			{Key: c.keys.Queue(h.queue), Value: storage.Encode(from.Value)}, {Key: c.keys.Queue(s.To), Value: storage.Encode(to.Value)}},
+	}, false, stateTimeout, func(r *storage.Reply) {
+		// Without a clear no, the move may still happen: the machine stays drained
+		// here until the stream tells.
+		if r.Outcome == storage.Conflict || r.Outcome == storage.Refused {
+			m.draining = ""
+		}
+	}) {
+		m.draining = ""
+	}
+}
+
+func has(s *bookkeeping.TaskSet, t int) bool { return s != nil && s.Has(t) }
--- /dev/null
+++ b/internal/coordination/plan/place.go
@@ -0,0 +1,151 @@
+package plan
+
+import (
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+)
+
+// Machine is a machine as the planner sees it.
+type Machine struct {
+	Key      int // the caller's
+	Type     *bookkeeping.MachineType
+	Zone     string
+	Spot     bool
+	Line     *Timeline
+	Images   func(string) bool // is the image there, or on its way
+	Slowness float64           // observed run time against that of its peers; 1: like them
+	Services int               // replicas planned or running here
+	Up       bool              // false: still expected to boot
+}
+
+// Slot is a place for one task.
+type Slot struct {
+	Machine   *Machine
+	Start     micros.Time
+	Length    micros.Time
+	Tardiness float64
+}
+
+// Request asks for slots for the waiting tasks of one job.
+type Request struct {
+	Job    *bookkeeping.Job
+	Weight float64
+	P      micros.Time
+	Due    micros.Time
+	Count  int
+	Now    micros.Time
+	Zone   string         // "": any; the zone that a one-zone job already has
+	InZone map[string]int // tasks of the job by zone
+	// Allowed tells further conditions on a machine; nil: none.
+	Allowed func(*Machine) bool
+}
+
+// fetchTime is how long the image takes to arrive on the machine.
+func fetchTime(j *bookkeeping.Job, m *Machine) micros.Time {
+	if j.Image == "" || m.Images(j.Image) || m.Type.FetchGBps <= 0 {
+		return 0
+	}
+	return micros.FromSeconds(j.ImageGB / m.Type.FetchGBps)
+}
+
+// candidate is the best gap of one machine.
+type candidate struct {
+	slot  Slot
+	ready micros.Time // start and image fetch
+	ok    bool
+}
+
+func (r *Request) candidate(m *Machine) candidate {
+	j := r.Job
+	if !j.AllowsType(m.Type.Name) || (j.Zone != "" && j.Zone != m.Zone) || (m.Spot && !j.Spot) ||
+		(r.Zone != "" && r.Zone != m.Zone) || !j.Need.Fits(m.Type.Capacity) || (r.Allowed != nil && !r.Allowed(m)) {
+		return candidate{}
+	}
+	fetch := fetchTime(j, m)
+	length := Forever
+	if j.Kind == bookkeeping.Array {
+		length = fetch + micros.Time(float64(r.P)*m.Slowness)
+	}
+	start, ok := m.Line.Gap(j.Need, r.Now, length)
+	if !ok {
+		return candidate{}
+	}
+	c := candidate{slot: Slot{Machine: m, Start: start, Length: length}, ready: start + fetch, ok: true}
+	if length < Forever {
+		c.slot.Tardiness = Tardiness(r.Weight, start+length, r.Due)
+	}
+	return c
+}
+
+// tie is the grain of time within which two gaps count as equally early.
+const tie = 250 * micros.Millisecond
+
+// better tells whether a is the better gap for the job: the least total weighted
+// tardiness decides; among equals (mostly: no tardiness at all) the task that is
+// ready first, then, for a service, the machine with fewer replicas, and for an
+// array the machine that services cannot use, then the fuller one.
+func better(j *bookkeeping.Job, a, b candidate) bool {
+	if !b.ok || !a.ok {
+		return a.ok
+	}
+	if a.slot.Tardiness != b.slot.Tardiness {
+		return a.slot.Tardiness < b.slot.Tardiness
+	}
+	if d := a.ready - b.ready; d < -tie || d > tie {
+		return d < 0
+	}
+	am, bm := a.slot.Machine, b.slot.Machine
+	if j.Kind == bookkeeping.Service {
+		if am.Services != bm.Services {
+			return am.Services < bm.Services
+		}
+	} else if am.Spot != bm.Spot {
+		return am.Spot
+	}
+	af, bf := am.Line.steps[0].free.CPU, bm.Line.steps[0].free.CPU
+	if af != bf {
+		return af < bf
+	}
+	return am.Key < bm.Key
+}
+
+// Place finds a slot for one task after the other and reserves it. It ends when
+// a task has no gap anywhere: the rest wait in index order.
+func Place(r *Request, machines []*Machine, out func(Slot)) int {
+	cands := make([]candidate, len(machines))
+	for i, m := range machines {
+		cands[i] = r.candidate(m)
+	}
+	placed := 0
+	limit := r.Job.SpreadLimit()
+	for ; placed < r.Count; placed++ {
+		best := -1
+		for i := range cands {
+			if !cands[i].ok || (r.Zone != "" && machines[i].Zone != r.Zone) ||
+				(r.Job.Spread && r.InZone[machines[i].Zone] >= limit) {
+				continue
+			}
+			if best < 0 || better(r.Job, cands[i], cands[best]) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		c := cands[best]
+		m := machines[best]
+		m.Line.Reserve(r.Job.Need, c.slot.Start, c.slot.Length)
+		if r.Job.Kind == bookkeeping.Service {
+			m.Services++
+		}
+		if r.InZone != nil {
+			r.InZone[m.Zone]++
+		}
+		if r.Job.OneZone {
+			r.Zone = m.Zone
+		}
+		out(c.slot)
+		cands[best] = r.candidate(m)
+	}
+	return placed
+}
--- /dev/null
+++ b/internal/coordination/scheduling.go
@@ -0,0 +1,452 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/coordination/fleet"
+	"pipitlatch/internal/coordination/plan"
+	"pipitlatch/internal/micros"
+)
+
+const (
+	// planPace bounds how often the timelines are rebuilt.
+	planPace = 100 * micros.Millisecond
+	// planAnyway is how often they are rebuilt without a change: estimates of
+	// running tasks run out, and slots come due.
+	planAnyway = 1000 * micros.Millisecond
+	// planTasks bounds the tasks placed in one plan; the rest wait in index order.
+	planTasks = 400
+)
+
+// ranked is a job with its place in the order.
+type ranked struct {
+	j *job
+	q *plan.Queued
+}
+
+// schedule plans the waiting tasks and starts those whose slot is now.
+func (h *holder) schedule() {
+	now := h.c.now
+	if h.c.catalog == nil || now-h.planAt < planPace || (!h.dirty && now-h.planAt < planAnyway) {
+		return
+	}
+	h.planAt, h.dirty = now, false
+	machines := h.planMachines()
+	silent := slices.ContainsFunc(h.machines, func(m *machine) bool { return !m.known })
+
+	var services, arrays []ranked
+	var queue []*plan.Queued
+	for _, id := range sortedKeys(h.jobs) {
+		j := h.jobs[id]
+		if j.waiting.Len() == 0 || j.pause > now {
+			continue
+		}
+		// Tasks of a job older than the lease may run on any machine that is not
+		// known yet; nothing of it starts until there is none.
+		if silent && j.version < h.since {
+			continue
+		}
+		r := ranked{j, h.queued(j)}
+		if j.Kind == bookkeeping.Service {
+			services = append(services, r)
+		} else {
+			arrays = append(arrays, r)
+			queue = append(queue, r.q)
+		}
+	}
+	plan.Rank(queue, now)
+	slices.SortStableFunc(services, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.Submitted, b.j.Submitted))
+	})
+	slices.SortStableFunc(arrays, func(a, b ranked) int { return cmp.Compare(b.q.Index, a.q.Index) })
+
+	var needs []fleet.Need
+	for _, r := range services {
+		needs = append(needs, h.placeService(r, machines)...)
+	}
+	needs = append(needs, h.spare()...)
+	left := planTasks
+	for _, r := range arrays {
+		needs = append(needs, h.placeArray(r, machines, &left)...)
+	}
+	h.needs = mergeNeeds(needs)
+	h.returnIdle()
+}
+
+// queued is what the index needs of a job's waiting tasks. A job with no
+// deadline takes d = arrival + 2p.
+func (h *holder) queued(j *job) *plan.Queued {
+	p := h.c.stats.Corrected(j.Job)
+	q := &plan.Queued{Weight: plan.Weight(j.Priority), P: p, Count: j.waiting.Len()}
+	age := h.c.wall - j.Submitted
+	deadline := j.Deadline
+	if deadline == 0 {
+		deadline = 2 * p
+	}
+	q.Due = h.c.now - age + deadline
+	return q
+}
+
+// planMachines builds the timelines from what runs.
+func (h *holder) planMachines() []*plan.Machine {
+	now := h.c.now
+	var out []*plan.Machine
+	for i, m := range h.machines {
+		if m.kind == nil || m.pause > now {
+			continue
+		}
+		up := h.usable(m)
+		if !up && !h.expected(m) {
+			continue
+		}
+		from := now
+		if !up {
+			// Boot times vary; one that is overdue is taken to be there soon.
+			from = max(now+2*micros.Second, m.added+m.kind.Boot)
+		}
+		pm := &plan.Machine{Key: i, Type: m.kind, Zone: m.block.Zone, Spot: m.block.Spot, Up: up, Slowness: 1,
+			Line: plan.NewTimeline(from, m.kind.Capacity), Images: m.hasImage}
+		for _, id := range sortedAttempts(m) {
+			a := m.attempts[id]
+			if a.state == Exited {
+				continue
+			}
+			if a.j != nil && a.j.Kind == bookkeeping.Service {
+				pm.Services++
+			}
+			pm.Line.Reserve(a.need, from, h.remaining(a))
+		}
+		out = append(out, pm)
+	}
+	return out
+}
+
+// expected tells whether a machine that is not up can be counted on to boot.
+func (h *holder) expected(m *machine) bool {
+	if m.draining != "" || m.notice != 0 {
+		return false
+	}
+	if m.session != 0 {
+		return m.known && !m.expired && h.c.now-m.seen < h.silence() // about to be usable
+	}
+	return !m.block.Used && h.c.now-m.added < m.kind.Boot*3/2
+}
+
+// remaining is how much longer an attempt is expected to take its room.
+func (h *holder) remaining(a *attempt) micros.Time {
+	switch {
+	case a.stop:
+		return a.grace + micros.Second/2
+	case a.j == nil:
+		return micros.Second
+	case a.j.Kind == bookkeeping.Service:
+		return plan.Forever
+	}
+	p := h.c.stats.Corrected(a.j.Job)
+	if a.running == 0 {
+		return max(p, a.made+a.length-h.c.now)
+	}
+	// An overdue task is taken to need a part of its estimate more.
+	return max(p/4, p-(h.c.now-a.running))
+}
+
+// request is the planner's request for one job.
+func (h *holder) request(r ranked, count int) *plan.Request {
+	j := r.j
+	q := &plan.Request{Job: j.Job, Weight: r.q.Weight, P: r.q.P, Due: r.q.Due, Count: count, Now: h.c.now, InZone: map[string]int{}}
+	for _, a := range j.live {
+		q.InZone[a.m.block.Zone]++
+		if j.OneZone {
+			q.Zone = a.m.block.Zone
+		}
+	}
+	return q
+}
+
+// allowance is how many more tasks of the job its team's limit allows at once:
+// a machine whose tasks are not known counts at its worst.
+func (h *holder) allowance(j *job) int {
+	t := h.c.teams[j.Team]
+	if t == nil {
+		return 0
+	}
+	use := h.usage[j.Team]
+	if t.LimitCPU >= 0 || t.LimitGPU >= 0 {
+		for _, m := range h.machines {
+			if !m.known && m.kind != nil {
+				use = use.Add(m.kind.Capacity)
+			}
+		}
+	}
+	free := bookkeeping.Resources{CPU: 1 << 50, GPU: 1 << 50, Mem: 1 << 50}
+	if t.LimitCPU >= 0 {
+		free.CPU = t.LimitCPU - use.CPU
+	}
+	if t.LimitGPU >= 0 {
+		free.GPU = t.LimitGPU - use.GPU
+	}
+	return int(j.Need.Count(free))
+}
+
+// start starts the job's next waiting task on a machine.
+func (h *holder) start(j *job, m *machine, length micros.Time) bool {
+	t := j.waiting.Next(0)
+	if t < 0 || j.live[t] != nil || !h.usable(m) {
+		return false
+	}
+	h.counter++
+	a := &attempt{id: AttemptID{j.ID, t, h.token<<20 + h.counter}, m: m, j: j, team: j.Team, need: j.Need,
+		made: h.c.now, length: length, own: true}
+	m.attempts[a.id] = a
+	j.live[t] = a
+	j.waiting.Remove(t)
+	h.enter(a)
+	m.outbox = append(m.outbox, Command{Op: Start, AttemptID: a.id})
+	// Other tasks of the image need not wait for it as long.
+	m.useImage(j.Image, j.ImageGB)
+	return true
+}
+
+func (h *holder) placeService(r ranked, machines []*plan.Machine) []fleet.Need {
+	j := r.j
+	count := min(j.waiting.Len(), h.allowance(j))
+	short := 0
+	placed := plan.Place(h.request(r, count), machines, func(s plan.Slot) {
+		m := h.machines[s.Machine.Key]
+		if s.Machine.Up && s.Start <= h.c.now && h.start(j, m, plan.Forever) {
+			return
+		}
+		if !h.makeRoom(j, s.Start) {
+			short++
+		}
+	})
+	for range count - placed {
+		h.makeRoom(j, micros.Max)
+	}
+	if missing := count - placed; missing > 0 {
+		return []fleet.Need{h.need(j, missing)}
+	}
+	return nil
+}
+
+// need is what a rental for tasks of the job has to offer.
+func (h *holder) need(j *job, count int) fleet.Need {
+	n := fleet.Need{Each: j.Need, Count: count, Spot: j.Spot, Types: j.Types, Zone: j.Zone,
+		Service: j.Kind == bookkeeping.Service, Hold: micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second}
+	if n.Service {
+		n.Hold *= 4
+	}
+	return n
+}
+
+// makeRoom stops work of lower priority for a task that otherwise would wait
+// until a time, and starts the task in its place. Exception to the design: the
+// paper's tasks are not preempted, but services must not wait for arrays.
+func (h *holder) makeRoom(j *job, until micros.Time) bool {
+	now := h.c.now
+	if until-now < micros.Second || j.waiting.Len() == 0 {
+		return false
+	}
+	var best *machine
+	var victims []*attempt
+	bestCost := 0.0
+	for _, m := range h.machines {
+		if m.kind == nil || !h.usable(m) || m.pause > now || !j.AllowsType(m.block.Type) || (j.Zone != "" && j.Zone != m.block.Zone) ||
+			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) {
+			continue
+		}
+		free := m.kind.Capacity
+		var lower []*attempt
+		for _, id := range sortedAttempts(m) {
+			a := m.attempts[id]
+			if a.state == Exited {
+				continue
+			}
+			free = free.Sub(a.need)
+			if a.j != nil && a.j.Priority < j.Priority && !a.stop {
+				lower = append(lower, a)
+			}
+		}
+		// The least work lost first.
+		slices.SortStableFunc(lower, func(a, b *attempt) int { return cmp.Compare(h.lost(a), h.lost(b)) })
+		cost := 0.0
+		var take []*attempt
+		for _, a := range lower {
+			if j.Need.Fits(free) {
+				break
+			}
+			free = free.Add(a.need)
+			cost += micros.Seconds(h.lost(a)) + 1
+			take = append(take, a)
+		}
+		if !j.Need.Fits(free) {
+			continue
+		}
+		if !m.hasImage(j.Image) && m.kind.FetchGBps > 0 {
+			cost += 20 * j.ImageGB / m.kind.FetchGBps
+		}
+		if best == nil || cost < bestCost {
+			best, victims, bestCost = m, take, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	saves := false
+	for _, a := range victims {
+		grace := micros.Time(0)
+		if a.j.CheckpointEvery > 0 {
+			grace, saves = a.j.SaveTime, true
+		}
+		h.stop(a, grace)
+	}
+	if !saves {
+		// Commands are executed in order: the room is there when the start comes.
+		return h.start(j, best, plan.Forever)
+	}
+	return true
+}
+
+// lost is the work that stopping an attempt loses.
+func (h *holder) lost(a *attempt) micros.Time {
+	if a.running == 0 {
+		return 0
+	}
+	run := h.c.now - a.running
+	if a.j.CheckpointEvery > 0 {
+		return a.j.SaveTime
+	}
+	return run
+}
+
+func (h *holder) zoneAllows(j *job, zone string) bool {
+	n := 0
+	for _, a := range j.live {
+		if a.m.block.Zone == zone {
+			n++
+		} else if j.OneZone {
+			return false
+		}
+	}
+	return !j.Spread || n < j.SpreadLimit()
+}
+
+func (h *holder) placeArray(r ranked, machines []*plan.Machine, left *int) []fleet.Need {
+	j := r.j
+	now := h.c.now
+	allowed := h.allowance(j)
+	waiting := j.waiting.Len()
+	count := min(waiting, allowed, *left)
+	if count <= 0 {
+		return nil
+	}
+	tardy := 0
+	placed := plan.Place(h.request(r, count), machines, func(s plan.Slot) {
+		m := h.machines[s.Machine.Key]
+		if s.Machine.Up && s.Start <= now {
+			h.start(j, m, s.Length)
+			return
+		}
+		if s.Start+s.Length > r.q.Due && s.Start > now+5*micros.Second {
+			tardy++
+		}
+	})
+	*left -= placed
+	short := min(waiting, allowed) - placed + tardy
+	if short <= 0 {
+		return nil
+	}
+	// What does not fit in time: so many slots that the waves on new machines end
+	// by the deadline, or, if that is over anyway, all at once.
+	boot := micros.Max
+	for _, t := range h.c.catalog {
+		if j.AllowsType(t.Name) && j.Need.Fits(t.Capacity) {
+			boot = min(boot, t.Boot)
+		}
+	}
+	waves := max(1, min(4, (r.q.Due-now-boot)/max(1, r.q.P)))
+	return []fleet.Need{h.need(j, (short+int(waves)-1)/int(waves))}
+}
+
+// spare asks for room to take up the services of the machine that holds most of
+// them, and some growth, at once: free room, or room that arrays can be stopped
+// for. Exception to the design, which plans for tasks that are there.
+func (h *holder) spare() []fleet.Need {
+	replicas, most := 0, 0
+	var kind *job
+	perMachine := map[*machine]int{}
+	for _, id := range sortedKeys(h.jobs) {
+		j := h.jobs[id]
+		if j.Kind != bookkeeping.Service {
+			continue
+		}
+		for _, a := range j.live {
+			replicas++
+			perMachine[a.m]++
+			most = max(most, perMachine[a.m])
+		}
+		if kind == nil || j.Need.CPU > kind.Need.CPU {
+			kind = j
+		}
+	}
+	if kind == nil {
+		return nil
+	}
+	want := max(most, (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100, 2)
+	room := 0
+	for _, m := range h.machines {
+		if m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) || (kind.Zone != "" && kind.Zone != m.block.Zone) ||
+			(!h.usable(m) && !h.expected(m)) {
+			continue
+		}
+		free := m.kind.Capacity
+		for _, a := range m.attempts {
+			if a.state != Exited && (a.j == nil || a.j.Priority >= kind.Priority) {
+				free = free.Sub(a.need)
+			}
+		}
+		room += int(kind.Need.Count(free))
+	}
+	if room >= want {
+		return nil
+	}
+	return []fleet.Need{h.need(kind, want-room)}
+}
+
+func mergeNeeds(needs []fleet.Need) []fleet.Need {
+	var out []fleet.Need
+	for _, n := range needs {
+		i := slices.IndexFunc(out, func(o fleet.Need) bool {
+			return o.Each == n.Each && o.Spot == n.Spot && o.Zone == n.Zone && o.Service == n.Service && slices.Equal(o.Types, n.Types)
+		})
+		if i >= 0 {
+			out[i].Count += n.Count
+		} else if len(out) < 32 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// returnIdle gives machines back that have had no task for a while and are not
+// part of the spare room for services.
+func (h *holder) returnIdle() {
+	keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
+	if len(h.needs) > 0 {
+		return
+	}
+	for _, m := range h.machines {
+		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.empty(m) {
+			continue
+		}
+		m.draining = "idle"
+		if len(h.spare()) > 0 {
+			m.draining = ""
+			continue
+		}
+		m.draining = ""
+		h.drain(m, "idle")
+	}
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,168 @@
+package coordination
+
+import (
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// comeBack is when a refused user may try again.
+const comeBack = micros.Second
+
+func (c *Core) answer(a Answer) { c.out.Answers = append(c.out.Answers, a) }
+
+func (c *Core) unavailable(id RequestID, why string) {
+	c.answer(Answer{Request: id, Kind: Unavailable, Text: why, RetryAfter: comeBack})
+}
+
+// final answers from what can never change, if it is known.
+func (c *Core) final(req RequestID, id string) bool {
+	e := c.replica.Jobs[id]
+	if e == nil || e.Job.Phase == bookkeeping.Active {
+		return false
+	}
+	c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
+	return true
+}
+
+func (c *Core) view(e *storage.JobEntry) JobView {
+	v := JobView{ID: e.Job.ID, Phase: e.Job.Phase}
+	switch e.Job.Phase {
+	case bookkeeping.Done:
+		v.Done = e.Job.Tasks
+	case bookkeeping.Active:
+		p := c.progress[v.ID]
+		v.Done, v.Running = p.Done, p.Running
+		if e.Finished != nil {
+			v.Done = max(v.Done, e.Finished.Len())
+		}
+	}
+	return v
+}
+
+// viewOr answers with the job's state as it is now, or calls missing if there
+// is no such job.
+func (c *Core) viewOr(req RequestID, id string, missing func()) {
+	if c.final(req, id) {
+		return
+	}
+	c.fresh(func(ok bool) {
+		switch e := c.replica.Jobs[id]; {
+		case !ok:
+			c.unavailable(req, "the state service does not answer")
+		case e != nil:
+			c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
+		default:
+			missing()
+		}
+	})
+}
+
+func (c *Core) lookup(in *Lookup) {
+	c.viewOr(in.Request, in.ID, func() { c.answer(Answer{Request: in.Request, Kind: Missing}) })
+}
+
+func (c *Core) submit(in *Submit) {
+	req, id := in.Request, in.ID
+	if id == "" {
+		c.answer(Answer{Request: req, Kind: Malformed, Text: in.Fault})
+		return
+	}
+	if c.replica.Jobs[id] != nil {
+		c.viewOr(req, id, func() { c.unavailable(req, "try again") })
+		return
+	}
+	// A job that is known already gets 200 whatever its repetition looks like, so
+	// faults are told only after the record was looked up.
+	if in.Job == nil {
+		c.viewOr(req, id, func() { c.answer(Answer{Request: req, Kind: Malformed, Text: in.Fault}) })
+		return
+	}
+	if !c.synced || c.catalog == nil {
+		c.unavailable(req, "starting")
+		return
+	}
+	if why := c.impossible(in.Job); why != "" {
+		c.viewOr(req, id, func() { c.answer(Answer{Request: req, Kind: Impossible, Text: why}) })
+		return
+	}
+	in.Job.Submitted = c.wall
+	key := c.keys.Job(id)
+	sent := c.callState(&storage.Request{Kind: storage.Commit,
+		Conditions: []storage.Condition{{Key: key}},
+		Puts:       []storage.Put{{Key: key, Value: storage.Encode(in.Job)}},
+	}, false, stateTimeout, func(r *storage.Reply) {
+		switch r.Outcome {
+		case storage.OK:
+			c.answer(Answer{Request: req, Kind: Accepted, Job: JobView{ID: id}})
+		case storage.Conflict:
+			c.viewOr(req, id, func() { c.unavailable(req, "try again") })
+		default:
+			c.unavailable(req, "the state service does not answer")
+		}
+	})
+	if !sent {
+		c.answer(Answer{Request: req, Kind: Overloaded, Text: "too many changes", RetryAfter: comeBack})
+	}
+}
+
+// impossible says why a job can never run, or nothing.
+func (c *Core) impossible(j *bookkeeping.Job) string {
+	team := c.teams[j.Team]
+	switch {
+	case team == nil:
+		return "unknown team"
+	case !team.CanEver(j):
+		return "needs more than the team's limit"
+	case !c.catalog.Fits(j):
+		return "a task fits no allowed machine type"
+	}
+	return ""
+}
+
+func (c *Core) cancel(in *Cancel) { c.tryCancel(in, 3) }
+
+func (c *Core) tryCancel(in *Cancel, tries int) {
+	if c.final(in.Request, in.ID) {
+		return
+	}
+	e := c.replica.Jobs[in.ID]
+	if e == nil {
+		c.fresh(func(ok bool) {
+			switch {
+			case !ok || tries <= 0:
+				c.unavailable(in.Request, "the state service does not answer")
+			case c.replica.Jobs[in.ID] == nil:
+				c.answer(Answer{Request: in.Request, Kind: Missing})
+			default:
+				c.tryCancel(in, tries-1)
+			}
+		})
+		return
+	}
+	key := c.keys.Job(in.ID)
+	gone := e.Job.Final(bookkeeping.Cancelled)
+	// done and cancelled exclude each other by the record's version.
+	sent := c.callState(&storage.Request{Kind: storage.Commit,
+		Conditions: []storage.Condition{{Key: key, Version: e.Version}},
+		Puts:       []storage.Put{{Key: key, Value: storage.Encode(gone)}},
+	}, true, stateTimeout, func(r *storage.Reply) {
+		switch {
+		case r.Outcome == storage.OK:
+			c.answer(Answer{Request: in.Request, Kind: View, Job: JobView{ID: in.ID, Phase: bookkeeping.Cancelled}})
+		case r.Outcome == storage.Conflict && tries > 0:
+			c.fresh(func(ok bool) {
+				if !ok {
+					c.unavailable(in.Request, "the state service does not answer")
+					return
+				}
+				c.tryCancel(in, tries-1)
+			})
+		default:
+			c.unavailable(in.Request, "the state service does not answer")
+		}
+	})
+	if !sent {
+		c.answer(Answer{Request: in.Request, Kind: Overloaded, Text: "too many changes", RetryAfter: comeBack})
+	}
+}
--- /dev/null
+++ b/internal/protocol/cloud.go
@@ -0,0 +1,136 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+)
+
+// HTTPRequest is a request as a client sends it.
+type HTTPRequest struct {
+	Method string
+	Path   string
+	Body   []byte
+}
+
+// EncodeCloud writes a request to the cloud.
+func EncodeCloud(c *coordination.CloudCall) HTTPRequest {
+	switch c.Kind {
+	case coordination.CloudRent:
+		return HTTPRequest{"POST", "/machines", mustJSON(struct {
+			Charter string `json:"charter"`
+			Hull    string `json:"hull"`
+			Berth   string `json:"berth"`
+			Loaners bool   `json:"loaners"`
+			Count   int    `json:"count"`
+		}{c.Charter, c.Rental.Type, c.Rental.Zone, c.Rental.Spot, c.Rental.Count})}
+	case coordination.CloudDelete:
+		return HTTPRequest{"POST", "/machines/delete", mustJSON(struct {
+			Hosts []string `json:"hosts"`
+		}{c.Names})}
+	case coordination.CloudList:
+		q := url.Values{"page": {strconv.Itoa(c.Limit)}}
+		if c.After != "" {
+			q.Set("after", c.After)
+		}
+		return HTTPRequest{"GET", "/machines?" + q.Encode(), nil}
+	default:
+		return HTTPRequest{"GET", "/catalog", nil}
+	}
+}
+
+type hull struct {
+	SKU        string   `json:"sku"`
+	Cores      float64  `json:"cores"`
+	GPUs       float64  `json:"gpus"`
+	RAMGB      float64  `json:"ram_gb"`
+	CacheGB    float64  `json:"cache_gb"`
+	FetchGBps  float64  `json:"fetch_gb_per_s"`
+	Hourly     float64  `json:"hourly"`
+	SpotHourly float64  `json:"spot_price"`
+	BootS      float64  `json:"boot_s"`
+	Berths     []string `json:"berths"`
+}
+
+// DecodeCloud reads the cloud's answer. One that cannot be read counts as lost:
+// what it was about may have happened.
+func DecodeCloud(kind coordination.CloudKind, status int, body []byte) (*coordination.CloudReply, error) {
+	lost := &coordination.CloudReply{Outcome: coordination.CloudLost}
+	switch status {
+	case 200:
+	case 429:
+		return &coordination.CloudReply{Outcome: coordination.CloudRefused}, nil
+	case 503:
+		var e struct {
+			Error string `json:"error"`
+		}
+		if err := json.Unmarshal(body, &e); err == nil && e.Error == "no capacity" && kind == coordination.CloudRent {
+			return &coordination.CloudReply{Outcome: coordination.CloudNoCapacity}, nil
+		}
+		return &coordination.CloudReply{Outcome: coordination.CloudRefused}, nil
+	default:
+		return lost, fmt.Errorf("cloud: status %d", status)
+	}
+	out := &coordination.CloudReply{Outcome: coordination.CloudOK}
+	switch kind {
+	case coordination.CloudCatalog:
+		var c struct {
+			Hulls []hull `json:"hulls"`
+		}
+		if err := json.Unmarshal(body, &c); err != nil {
+			return lost, fmt.Errorf("cloud: catalog: %w", err)
+		}
+		out.Catalog = bookkeeping.Catalog{}
+		for _, h := range c.Hulls {
+			if h.SKU == "" || h.Cores <= 0 || h.RAMGB < 0 || h.BootS < 0 || h.Hourly < 0 {
+				return lost, fmt.Errorf("cloud: catalog: bad type %q", h.SKU)
+			}
+			out.Catalog[h.SKU] = &bookkeeping.MachineType{Name: h.SKU, CacheGB: h.CacheGB, FetchGBps: h.FetchGBps,
+				Capacity: bookkeeping.Resources{CPU: bookkeeping.Milli(h.Cores), GPU: bookkeeping.Milli(h.GPUs), Mem: bookkeeping.Milli(h.RAMGB)},
+				Price:    h.Hourly, SpotPrice: h.SpotHourly, Boot: micros.FromSeconds(h.BootS), Zones: h.Berths}
+		}
+	case coordination.CloudRent:
+		var h struct {
+			Hosts []string `json:"hosts"`
+		}
+		if err := json.Unmarshal(body, &h); err != nil {
+			return lost, fmt.Errorf("cloud: rental: %w", err)
+		}
+		for _, name := range h.Hosts {
+			if name == "" || len(name) > 150 {
+				return lost, fmt.Errorf("cloud: rental: bad machine name %q", name)
+			}
+		}
+		out.Names = h.Hosts
+	case coordination.CloudList:
+		var l struct {
+			Hosts []struct {
+				Ref      string  `json:"ref"`
+				Endpoint string  `json:"endpoint"`
+				Hull     string  `json:"hull"`
+				Berth    string  `json:"berth"`
+				Loaners  bool    `json:"loaners"`
+				Phase    string  `json:"phase"`
+				HeldS    float64 `json:"held_s"`
+			} `json:"hosts"`
+			HasNext bool `json:"has_next"`
+		}
+		if err := json.Unmarshal(body, &l); err != nil {
+			return lost, fmt.Errorf("cloud: list: %w", err)
+		}
+		out.More = l.HasNext
+		for _, h := range l.Hosts {
+			if h.Ref == "" || len(h.Ref) > 150 {
+				continue
+			}
+			out.Listed = append(out.Listed, coordination.Listed{Machine: h.Ref, Address: h.Endpoint, Type: h.Hull, Zone: h.Berth,
+				Spot: h.Loaners, Running: h.Phase == "running", Failed: h.Phase == "failed", Age: micros.FromSeconds(h.HeldS)})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/protocol/siblings.go
@@ -0,0 +1,145 @@
+package protocol
+
+import (
+	"fmt"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/coordination/fleet"
+	"pipitlatch/internal/protocol/wire"
+	"pipitlatch/internal/storage"
+)
+
+//go:generate flatc --go siblings.fbs
+
+// MaxStatus bounds a message between controllers.
+const MaxStatus = 1 << 20
+
+func strings(b *flatbuffers.Builder, list []string) flatbuffers.UOffsetT {
+	offs := make([]flatbuffers.UOffsetT, len(list))
+	for i, s := range list {
+		offs[i] = b.CreateString(s)
+	}
+	return vector(b, offs)
+}
+
+func vector(b *flatbuffers.Builder, offs []flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+	b.StartVector(4, len(offs), 4)
+	for i := len(offs) - 1; i >= 0; i-- {
+		b.PrependUOffsetT(offs[i])
+	}
+	return b.EndVector(len(offs))
+}
+
+// EncodeStatus writes a message to a sibling.
+func EncodeStatus(s *coordination.Status) []byte {
+	b := flatbuffers.NewBuilder(1024)
+	var queues, shifts, progress []flatbuffers.UOffsetT
+	for _, q := range s.Queues {
+		var needs []flatbuffers.UOffsetT
+		for _, n := range q.Needs {
+			types, zone := strings(b, n.Types), b.CreateString(n.Zone)
+			wire.NeedStart(b)
+			wire.NeedAddCpu(b, n.Each.CPU)
+			wire.NeedAddGpu(b, n.Each.GPU)
+			wire.NeedAddMem(b, n.Each.Mem)
+			wire.NeedAddCount(b, int32(n.Count))
+			wire.NeedAddSpot(b, n.Spot)
+			wire.NeedAddTypes(b, types)
+			wire.NeedAddZone(b, zone)
+			wire.NeedAddService(b, n.Service)
+			wire.NeedAddHold(b, n.Hold)
+			needs = append(needs, wire.NeedEnd(b))
+		}
+		nv, release, idle := vector(b, needs), strings(b, q.Release), strings(b, q.Idle)
+		wire.QueueStatusStart(b)
+		wire.QueueStatusAddQueue(b, int32(q.Queue))
+		wire.QueueStatusAddToken(b, q.Token)
+		wire.QueueStatusAddNeeds(b, nv)
+		wire.QueueStatusAddRelease(b, release)
+		wire.QueueStatusAddIdle(b, idle)
+		queues = append(queues, wire.QueueStatusEnd(b))
+	}
+	for _, sh := range s.Shifts {
+		m := b.CreateString(sh.Machine)
+		wire.ShiftStart(b)
+		wire.ShiftAddMachine(b, m)
+		wire.ShiftAddTo(b, int32(sh.To))
+		shifts = append(shifts, wire.ShiftEnd(b))
+	}
+	for _, p := range s.Progress {
+		id := b.CreateString(p.ID)
+		wire.ProgressStart(b)
+		wire.ProgressAddJob(b, id)
+		wire.ProgressAddDone(b, int32(p.Done))
+		wire.ProgressAddRunning(b, int32(p.Running))
+		progress = append(progress, wire.ProgressEnd(b))
+	}
+	qv, gone, sv, pv := vector(b, queues), strings(b, s.Gone), vector(b, shifts), vector(b, progress)
+	member, inc := b.CreateString(s.From.Member), b.CreateString(s.From.Incarnation)
+	wire.StatusStart(b)
+	wire.StatusAddMember(b, member)
+	wire.StatusAddIncarnation(b, inc)
+	wire.StatusAddRevision(b, s.Revision)
+	wire.StatusAddStateOk(b, s.StateOK)
+	wire.StatusAddQueues(b, qv)
+	wire.StatusAddGone(b, gone)
+	wire.StatusAddShifts(b, sv)
+	wire.StatusAddProgress(b, pv)
+	b.Finish(wire.StatusEnd(b))
+	return b.FinishedBytes()
+}
+
+func stringList(n int, at func(int) []byte) []string {
+	var out []string
+	for i := range n {
+		out = append(out, string(at(i)))
+	}
+	return out
+}
+
+// DecodeStatus reads a message from a sibling. FlatBuffers are not verified when
+// they are read, so a damaged one ends in a panic, which becomes an error here.
+func DecodeStatus(raw []byte) (s *coordination.Status, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			s, err = nil, fmt.Errorf("damaged status: %v", r)
+		}
+	}()
+	if len(raw) < 8 {
+		return nil, fmt.Errorf("damaged status: %d bytes", len(raw))
+	}
+	w := wire.GetRootAsStatus(raw, 0)
+	s = &coordination.Status{From: storage.Process{Member: string(w.Member()), Incarnation: string(w.Incarnation())},
+		Revision: w.Revision(), StateOK: w.StateOk(), Gone: stringList(w.GoneLength(), w.Gone)}
+	for i := range w.QueuesLength() {
+		var q wire.QueueStatus
+		w.Queues(&q, i)
+		out := coordination.QueueStatus{Queue: int(q.Queue()), Token: q.Token(),
+			Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle)}
+		for k := range q.NeedsLength() {
+			var n wire.Need
+			q.Needs(&n, k)
+			out.Needs = append(out.Needs, fleet.Need{Each: bookkeeping.Resources{CPU: n.Cpu(), GPU: n.Gpu(), Mem: n.Mem()},
+				Count: int(n.Count()), Spot: n.Spot(), Types: stringList(n.TypesLength(), n.Types), Zone: string(n.Zone()),
+				Service: n.Service(), Hold: n.Hold()})
+		}
+		s.Queues = append(s.Queues, out)
+	}
+	for i := range w.ShiftsLength() {
+		var sh wire.Shift
+		w.Shifts(&sh, i)
+		s.Shifts = append(s.Shifts, coordination.Shift{Machine: string(sh.Machine()), To: int(sh.To())})
+	}
+	for i := range w.ProgressLength() {
+		var p wire.Progress
+		w.Progress(&p, i)
+		s.Progress = append(s.Progress, coordination.JobProgress{ID: string(p.Job()), Done: int(p.Done()), Running: int(p.Running())})
+	}
+	if s.From.Member == "" {
+		return nil, fmt.Errorf("damaged status: no member")
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/protocol/state.go
@@ -0,0 +1,145 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+type condition struct {
+	Key   string `json:"key"`
+	Stamp uint64 `json:"stamp"`
+}
+
+type write struct {
+	Set    string          `json:"set,omitempty"`
+	V      json.RawMessage `json:"v,omitempty"`
+	Permit uint64          `json:"permit,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+}
+
+// EncodeState writes a request to the state service.
+func EncodeState(r *storage.Request) HTTPRequest {
+	switch r.Kind {
+	case storage.Get:
+		return HTTPRequest{"GET", "/store/" + r.Key, nil}
+	case storage.List:
+		q := url.Values{"under": {r.Key}, "page": {strconv.Itoa(r.Limit)}}
+		if r.After != "" {
+			q.Set("after", r.After)
+		}
+		return HTTPRequest{"GET", "/store?" + q.Encode(), nil}
+	case storage.Watch:
+		q := url.Values{"under": {r.Key}, "after": {strconv.FormatUint(r.Revision, 10)},
+			"block_ms": {strconv.FormatInt(r.Wait/micros.Millisecond, 10)}}
+		return HTTPRequest{"GET", "/changes?" + q.Encode(), nil}
+	case storage.Grant:
+		return HTTPRequest{"POST", "/grants", mustJSON(struct {
+			TTL int64 `json:"ttl_ms"`
+		}{r.TTL / micros.Millisecond})}
+	case storage.Touch:
+		return HTTPRequest{"POST", "/grants/" + strconv.FormatUint(r.Lease, 10) + "/touch", []byte("{}")}
+	}
+	c := struct {
+		If     []condition `json:"if"`
+		Writes []write     `json:"writes"`
+	}{[]condition{}, []write{}}
+	for _, x := range r.Conditions {
+		c.If = append(c.If, condition{x.Key, x.Version})
+	}
+	for _, p := range r.Puts {
+		c.Writes = append(c.Writes, write{Set: p.Key, V: p.Value, Permit: p.Lease})
+	}
+	for _, d := range r.Deletes {
+		c.Writes = append(c.Writes, write{Delete: d})
+	}
+	return HTTPRequest{"POST", "/commit", mustJSON(c)}
+}
+
+// DecodeState reads the state service's answer. One that cannot be read counts
+// as lost.
+func DecodeState(kind storage.Kind, status int, body []byte) (*storage.Reply, error) {
+	out := &storage.Reply{}
+	switch status {
+	case 200, 201, 204:
+		out.Outcome = storage.OK
+	case 404:
+		out.Outcome = storage.NotFound
+	case 409:
+		out.Outcome = storage.Conflict
+	case 410:
+		out.Outcome = storage.Compacted
+		return out, nil
+	case 429, 503:
+		out.Outcome = storage.Refused
+		return out, nil
+	case 400:
+		if kind == storage.Commit || kind == storage.Touch {
+			var e struct {
+				Error string `json:"error"`
+			}
+			if json.Unmarshal(body, &e) == nil && e.Error == "no such lease" {
+				out.Outcome = storage.NoLease
+				return out, nil
+			}
+		}
+		out.Outcome = storage.Refused
+		return out, fmt.Errorf("state: refused as malformed: %.200s", body)
+	default:
+		out.Outcome = storage.Lost
+		return out, fmt.Errorf("state: status %d", status)
+	}
+	var b struct {
+		Key    string          `json:"key"`
+		V      json.RawMessage `json:"v"`
+		Stamp  uint64          `json:"stamp"`
+		Permit uint64          `json:"permit"`
+		Ledger uint64          `json:"ledger"`
+		Rows   []struct {
+			Key   string          `json:"key"`
+			V     json.RawMessage `json:"v"`
+			Stamp uint64          `json:"stamp"`
+		} `json:"rows"`
+		HasNext bool `json:"has_next"`
+		Log     []struct {
+			Set    string          `json:"set"`
+			V      json.RawMessage `json:"v"`
+			Delete string          `json:"delete"`
+			Stamp  uint64          `json:"stamp"`
+		} `json:"log"`
+	}
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, &b); err != nil {
+			out.Outcome = storage.Lost
+			return out, fmt.Errorf("state: %w", err)
+		}
+	}
+	out.Revision, out.Lease, out.More = b.Ledger, b.Permit, b.HasNext
+	switch kind {
+	case storage.Get:
+		if status == 200 {
+			out.Items = []storage.Item{{Key: b.Key, Value: b.V, Version: b.Stamp}}
+		}
+	case storage.List:
+		for _, r := range b.Rows {
+			out.Items = append(out.Items, storage.Item{Key: r.Key, Value: r.V, Version: r.Stamp})
+		}
+	case storage.Watch:
+		for _, e := range b.Log {
+			it := storage.Item{Key: e.Set, Value: e.V, Version: e.Stamp}
+			if e.Delete != "" {
+				it = storage.Item{Key: e.Delete, Version: e.Stamp, Deleted: true}
+			}
+			out.Items = append(out.Items, it)
+		}
+		if out.Revision == 0 {
+			out.Outcome = storage.Lost
+			return out, fmt.Errorf("state: changes without a revision")
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/protocol/workers.go
@@ -0,0 +1,131 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+)
+
+type report struct {
+	Host     string   `json:"host"`
+	Endpoint string   `json:"endpoint"`
+	Hull     string   `json:"hull"`
+	Berth    string   `json:"berth"`
+	Loaners  bool     `json:"loaners"`
+	Tenure   uint64   `json:"tenure"`
+	Tick     uint64   `json:"tick"`
+	Warrant  uint64   `json:"warrant"`
+	RecallS  *float64 `json:"recall_s"`
+	Shards   []struct {
+		Shard  string `json:"shard"`
+		Try    uint64 `json:"try"`
+		Phase  string `json:"phase"`
+		Cause  string `json:"cause"`
+		Stored bool   `json:"stored"`
+	} `json:"shards"`
+}
+
+var (
+	taskStates = map[string]coordination.TaskState{
+		"fetching": coordination.Fetching, "running": coordination.Running, "saving": coordination.Saving, "exited": coordination.Exited,
+	}
+	causes = map[string]coordination.Cause{
+		"done": coordination.CauseDone, "stopped": coordination.CauseStopped, "error": coordination.CauseError,
+		"no_room": coordination.CauseNoRoom, "busy": coordination.CauseBusy, "unknown": coordination.CauseUnknown,
+	}
+	verbs = map[coordination.Op]string{coordination.Start: "run", coordination.Stop: "kill", coordination.Forget: "forget"}
+)
+
+// ParseReport reads a worker's report.
+func ParseReport(body []byte) (*coordination.Report, error) {
+	var r report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	if r.Host == "" || len(r.Host) > 150 || r.Tenure == 0 {
+		return nil, errors.New("report: host or tenure is missing")
+	}
+	out := &coordination.Report{Machine: r.Host, Address: r.Endpoint, Type: r.Hull, Zone: r.Berth, Spot: r.Loaners,
+		Session: r.Tenure, Seq: r.Tick, Token: r.Warrant, Notice: -1}
+	if r.RecallS != nil {
+		out.Notice = max(0, micros.FromSeconds(*r.RecallS))
+	}
+	for _, s := range r.Shards {
+		job, task, err := parseTaskID(s.Shard)
+		if err != nil {
+			return nil, fmt.Errorf("report: %w", err)
+		}
+		state, ok := taskStates[s.Phase]
+		if !ok {
+			return nil, fmt.Errorf("report: task %s in an unknown state %q", s.Shard, s.Phase)
+		}
+		t := coordination.TaskReport{AttemptID: coordination.AttemptID{Job: job, Task: task, Number: s.Try}, State: state, Saved: s.Stored}
+		if state == coordination.Exited {
+			// A cause that is not known here counts as a stop: nothing is believed done.
+			if t.Cause, ok = causes[s.Cause]; !ok {
+				t.Cause = coordination.CauseStopped
+			}
+		}
+		out.Tasks = append(out.Tasks, t)
+	}
+	return out, nil
+}
+
+type order struct {
+	Verb      string   `json:"verb"`
+	Shard     string   `json:"shard"`
+	Try       uint64   `json:"try"`
+	WindDownS *float64 `json:"wind_down_s,omitempty"`
+}
+
+func orders(cmds []coordination.Command) []order {
+	out := make([]order, 0, len(cmds))
+	for _, c := range cmds {
+		o := order{Verb: verbs[c.Op], Shard: taskID(c.Job, c.Task), Try: c.Number}
+		if c.Op == coordination.Stop {
+			s := micros.Seconds(c.Grace)
+			o.WindDownS = &s
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// EncodeOrders writes the answer to a report.
+func EncodeOrders(token uint64, cmds []coordination.Command) []byte {
+	return mustJSON(struct {
+		Warrant uint64  `json:"warrant"`
+		Orders  []order `json:"orders"`
+	}{token, orders(cmds)})
+}
+
+// EncodeElsewhere writes the answer that sends a worker to another controller.
+func EncodeElsewhere(steward string) []byte {
+	return mustJSON(struct {
+		Steward string `json:"steward,omitempty"`
+	}{steward})
+}
+
+// EncodeCommands writes commands that go straight to a worker.
+func EncodeCommands(c *coordination.WorkerCall) []byte {
+	return mustJSON(struct {
+		Warrant uint64  `json:"warrant"`
+		Tenure  uint64  `json:"tenure"`
+		Orders  []order `json:"orders"`
+	}{c.Token, c.Session, orders(c.Commands)})
+}
+
+// DecodeWorker reads a worker's answer; anything but a report counts as none.
+func DecodeWorker(status int, body []byte) *coordination.WorkerReply {
+	if status != 200 && status != 409 {
+		return &coordination.WorkerReply{}
+	}
+	r, err := ParseReport(body)
+	if err != nil {
+		return &coordination.WorkerReply{}
+	}
+	return &coordination.WorkerReply{Executed: status == 200, Report: r}
+}
--- /dev/null
+++ b/internal/storage/replica.go
@@ -0,0 +1,269 @@
+package storage
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+)
+
+// Process names one run of a controller's process.
+type Process struct {
+	Member      string `json:"m"`
+	Incarnation string `json:"i"`
+}
+
+// QueueRecord says who holds a queue. Former are earlier holders that were not
+// known to be dead when the record was written: they may still answer workers
+// until their terms end.
+type QueueRecord struct {
+	Holder Process   `json:"h"`
+	Former []Process `json:"f,omitempty"`
+}
+
+// BlockRecord assigns a machine to a queue. Used is set, by the holder, before
+// the first task is started there: an unused machine surely has no tasks.
+type BlockRecord struct {
+	Queue   int    `json:"q"`
+	Type    string `json:"t"`
+	Zone    string `json:"z"`
+	Spot    bool   `json:"s,omitempty"`
+	Address string `json:"a,omitempty"`
+	Used    bool   `json:"u,omitempty"`
+}
+
+// CharterRecord is a rental written down before it is requested.
+type CharterRecord struct {
+	Type  string      `json:"t"`
+	Zone  string      `json:"z"`
+	Spot  bool        `json:"s,omitempty"`
+	Count int         `json:"n"`
+	Queue int         `json:"q"`
+	At    micros.Time `json:"at"`
+}
+
+// Versioned is a record with the version of its key.
+type Versioned[T any] struct {
+	Value   T
+	Version uint64
+}
+
+// JobEntry is a job with its finished tasks as stored.
+type JobEntry struct {
+	Job        *bookkeeping.Job
+	Version    uint64
+	Finished   *bookkeeping.TaskSet // nil: none
+	FinVersion map[int]uint64       // by chunk
+}
+
+// Keys builds the keys below a prefix.
+type Keys struct{ Prefix string }
+
+// The keys.
+func (k Keys) Leader() string             { return k.Prefix + "leader" }
+func (k Keys) Barrier() string            { return k.Prefix + "barrier" } // never exists
+func (k Keys) Node(m string) string       { return k.Prefix + "node/" + m }
+func (k Keys) Queue(n int) string         { return k.Prefix + "queue/" + strconv.Itoa(n) }
+func (k Keys) Block(m string) string      { return k.Prefix + "block/" + m }
+func (k Keys) Charter(r string) string    { return k.Prefix + "charter/" + r }
+func (k Keys) Job(id string) string       { return k.Prefix + "job/" + id }
+func (k Keys) FinPrefix(id string) string { return k.Prefix + "fin/" + id + "/" }
+func (k Keys) Fin(id string, chunk int) string {
+	return k.FinPrefix(id) + strconv.Itoa(chunk)
+}
+
+// Change tells what an event touched: the part of the key below the prefix.
+type Change struct {
+	Kind string // leader, node, queue, block, charter, job, fin
+	ID   string
+}
+
+// Replica is a controller's copy of the state, built from one list and one
+// ordered stream of changes.
+type Replica struct {
+	Keys     Keys
+	Revision uint64
+	Leader   Versioned[Process]
+	Nodes    map[string]Versioned[Process]
+	Queues   map[int]Versioned[QueueRecord]
+	Blocks   map[string]Versioned[BlockRecord]
+	Charters map[string]Versioned[CharterRecord]
+	Jobs     map[string]*JobEntry
+	orphans  map[string]map[int]Item // finished ranges listed before their job
+}
+
+// NewReplica returns an empty replica.
+func NewReplica(k Keys) *Replica {
+	return &Replica{Keys: k, Nodes: map[string]Versioned[Process]{}, Queues: map[int]Versioned[QueueRecord]{},
+		Blocks: map[string]Versioned[BlockRecord]{}, Charters: map[string]Versioned[CharterRecord]{},
+		Jobs: map[string]*JobEntry{}, orphans: map[string]map[int]Item{}}
+}
+
+func decode[T any](it Item) (Versioned[T], error) {
+	v := Versioned[T]{Version: it.Version}
+	err := json.Unmarshal(it.Value, &v.Value)
+	return v, err
+}
+
+// applyTo stores the item in m unless m is newer.
+func applyTo[K comparable, T any](m map[K]Versioned[T], k K, it Item) (bool, error) {
+	if m[k].Version >= it.Version {
+		return false, nil
+	}
+	if it.Deleted {
+		_, had := m[k]
+		delete(m, k)
+		return had, nil
+	}
+	v, err := decode[T](it)
+	if err == nil {
+		m[k] = v
+	}
+	return err == nil, err
+}
+
+// Apply takes one item of a list or of the stream. Items older than what is
+// known are passed over, so that a list's pages and the stream may overlap.
+func (r *Replica) Apply(it Item) (Change, bool, error) {
+	rest, ok := strings.CutPrefix(it.Key, r.Keys.Prefix)
+	if !ok {
+		return Change{}, false, nil
+	}
+	kind, id, _ := strings.Cut(rest, "/")
+	c := Change{Kind: kind, ID: id}
+	var changed bool
+	var err error
+	switch kind {
+	case "leader":
+		if r.Leader.Version >= it.Version {
+			return c, false, nil
+		}
+		if it.Deleted {
+			r.Leader = Versioned[Process]{}
+			return c, true, nil
+		}
+		var v Versioned[Process]
+		if v, err = decode[Process](it); err == nil {
+			r.Leader, changed = v, true
+		}
+	case "node":
+		changed, err = applyTo(r.Nodes, id, it)
+	case "queue":
+		var n int
+		if n, err = strconv.Atoi(id); err == nil {
+			changed, err = applyTo(r.Queues, n, it)
+		}
+	case "block":
+		changed, err = applyTo(r.Blocks, id, it)
+	case "charter":
+		changed, err = applyTo(r.Charters, id, it)
+	case "job":
+		changed, err = r.applyJob(id, it)
+	case "fin":
+		var chunk int
+		ref, n, _ := strings.Cut(id, "/")
+		c.ID = ref
+		if chunk, err = strconv.Atoi(n); err == nil {
+			changed, err = r.applyFin(ref, chunk, it)
+		}
+	}
+	if err != nil {
+		err = fmt.Errorf("record %s: %w", it.Key, err)
+	}
+	return c, changed, err
+}
+
+func (r *Replica) applyJob(id string, it Item) (bool, error) {
+	e := r.Jobs[id]
+	if e != nil && e.Version >= it.Version {
+		return false, nil
+	}
+	if it.Deleted {
+		delete(r.Jobs, id)
+		return e != nil, nil
+	}
+	var j bookkeeping.Job
+	if err := json.Unmarshal(it.Value, &j); err != nil {
+		return false, err
+	}
+	if e == nil {
+		e = &JobEntry{}
+		r.Jobs[id] = e
+	}
+	e.Job, e.Version = &j, it.Version
+	if j.Phase != bookkeeping.Active {
+		e.Finished, e.FinVersion = nil, nil
+	}
+	for chunk, fin := range r.orphans[id] {
+		if _, err := r.applyFin(id, chunk, fin); err != nil {
+			return true, err
+		}
+	}
+	delete(r.orphans, id)
+	return true, nil
+}
+
+func (r *Replica) applyFin(id string, chunk int, it Item) (bool, error) {
+	e := r.Jobs[id]
+	if e == nil {
+		// "fin/" sorts before "job/": in a list the ranges come first.
+		if r.orphans[id] == nil {
+			r.orphans[id] = map[int]Item{}
+		}
+		if r.orphans[id][chunk].Version < it.Version {
+			r.orphans[id][chunk] = it
+		}
+		return false, nil
+	}
+	if e.Job.Phase != bookkeeping.Active || it.Deleted || e.FinVersion[chunk] >= it.Version {
+		return false, nil
+	}
+	var text string
+	if err := json.Unmarshal(it.Value, &text); err != nil {
+		return false, err
+	}
+	if e.Finished == nil {
+		e.Finished, e.FinVersion = bookkeeping.NewTaskSet(e.Job.Tasks), map[int]uint64{}
+	}
+	e.FinVersion[chunk] = it.Version
+	return true, e.Finished.AddRanges(chunk, text)
+}
+
+// Listed ends a list: ranges whose job does not exist are forgotten.
+func (r *Replica) Listed() { clear(r.orphans) }
+
+// Live tells whether a process is registered now.
+func (r *Replica) Live(p Process) bool {
+	v, ok := r.Nodes[p.Member]
+	return ok && v.Value == p
+}
+
+// Dead tells whether a process has surely ended: a newer one of the same member
+// is registered. (That it is not registered only shows that its permit ended.)
+func (r *Replica) Dead(p Process) bool {
+	v, ok := r.Nodes[p.Member]
+	return ok && v.Value != p
+}
+
+// LiveNodes are the registered processes in order of their names.
+func (r *Replica) LiveNodes() []Process {
+	out := make([]Process, 0, len(r.Nodes))
+	for _, v := range r.Nodes {
+		out = append(out, v.Value)
+	}
+	slices.SortFunc(out, func(a, b Process) int { return strings.Compare(a.Member, b.Member) })
+	return out
+}
+
+// Encode writes a record.
+func Encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("storage: a record cannot be written: %v", err)) // records are our own plain structs
+	}
+	return b
+}
--- /dev/null
+++ b/internal/storage/request.go
@@ -0,0 +1,122 @@
+// Package storage is the controllers' view of the state service: keys, records,
+// transactions, the local replica fed by the change stream, and the budget of
+// requests. It performs no I/O; requests are handed out and replies handed in.
+package storage
+
+import (
+	"encoding/json"
+
+	"pipitlatch/internal/micros"
+)
+
+// Kind is the kind of a request to the state service.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	Get Kind = iota
+	List
+	Commit
+	Grant
+	Touch
+	Watch
+)
+
+// Condition requires a key to have a version; 0: not to exist.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
+// Put sets a key, attached to a lease unless that is 0.
+type Put struct {
+	Key   string
+	Value json.RawMessage
+	Lease uint64
+}
+
+// Request is one request to the state service.
+type Request struct {
+	Kind       Kind
+	Key        string // Get: the key; List, Watch: the prefix
+	After      string // List
+	Limit      int    // List
+	Revision   uint64 // Watch
+	Wait       micros.Time
+	Lease      uint64      // Touch
+	TTL        micros.Time // Grant
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []string
+}
+
+// Writes is how many changes the request counts as.
+func (r *Request) Writes() int { return len(r.Puts) + len(r.Deletes) }
+
+// Outcome is what became of a request.
+type Outcome uint8
+
+// The outcomes. Refused was surely not executed; Lost may have been, or may
+// still be, executed.
+const (
+	OK Outcome = iota
+	Conflict
+	NotFound
+	Compacted
+	NoLease
+	Refused
+	Lost
+)
+
+// Item is a key with its value and version.
+type Item struct {
+	Key     string
+	Value   json.RawMessage
+	Version uint64
+	Deleted bool
+}
+
+// Reply is the state service's answer.
+type Reply struct {
+	Outcome  Outcome
+	Revision uint64
+	Lease    uint64
+	Items    []Item // Get: one; List: a page; Watch: the events in order
+	More     bool
+}
+
+// Budget is a token bucket for requests and another for changes, of which this
+// controller has its share. A request that must not wait may overdraw it by as
+// much again.
+type Budget struct {
+	rate, writeRate int64 // thousandths a second
+	left, writeLeft int64 // thousandths
+	at              micros.Time
+}
+
+// NewBudget shares the service's limits among the controllers.
+func NewBudget(rps, writeRPS float64, nodes int) *Budget {
+	b := &Budget{rate: int64(rps * 1000 * 0.95 / float64(nodes)), writeRate: int64(writeRPS * 1000 * 0.95 / float64(nodes))}
+	b.left, b.writeLeft = b.rate, b.writeRate
+	return b
+}
+
+// Take reports whether a request with so many changes may be sent now.
+func (b *Budget) Take(now micros.Time, writes int, urgent bool) bool {
+	if dt := min(now-b.at, micros.Second); dt > 0 {
+		b.left = min(b.rate, b.left+b.rate*dt/micros.Second)
+		b.writeLeft = min(max(b.writeRate, 12_000), b.writeLeft+b.writeRate*dt/micros.Second)
+		b.at = now
+	}
+	need, needWrites := int64(1000), int64(writes)*1000
+	floor, writeFloor := int64(0), int64(0)
+	if urgent {
+		floor, writeFloor = -b.rate, -b.writeRate
+	}
+	if b.left-need < floor || (writes > 0 && b.writeLeft-needWrites < writeFloor) {
+		return false
+	}
+	b.left -= need
+	b.writeLeft -= needWrites
+	return true
+}
--- /dev/null
+++ b/internal/transport/clients.go
@@ -0,0 +1,130 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/protocol"
+	"pipitlatch/internal/storage"
+)
+
+// Bounds on answers; a larger one counts as none.
+const (
+	maxStateAnswer  = 8 << 20
+	maxCloudAnswer  = 1 << 20
+	maxWorkerAnswer = 256 << 10
+)
+
+// clients calls the outside services.
+type clients struct {
+	cfg     *config.Config
+	log     *slog.Logger
+	service *http.Client // state service and cloud
+	workers *http.Client
+}
+
+func newClient(dial time.Duration, perHost, idle int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:            (&net.Dialer{Timeout: dial, KeepAlive: 15 * time.Second}).DialContext,
+			MaxIdleConns:           idle,
+			MaxIdleConnsPerHost:    perHost,
+			MaxConnsPerHost:        4 * perHost,
+			IdleConnTimeout:        30 * time.Second,
+			MaxResponseHeaderBytes: 16 << 10,
+			DisableCompression:     true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func newClients(cfg *config.Config, log *slog.Logger) *clients {
+	return &clients{cfg: cfg, log: log,
+		service: newClient(time.Second, 16, 32),
+		workers: newClient(time.Second, 2, cfg.Settings.MachineLimits.MaxConnections/8)}
+}
+
+// do sends a request once. It must not be repeated behind the core's back: a
+// repetition would be a second send that nobody counts.
+func (c *clients) do(ctx context.Context, client *http.Client, host string, r protocol.HTTPRequest, timeout micros.Time, most int64) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, micros.Duration(timeout))
+	defer cancel()
+	var body io.Reader
+	if r.Body != nil {
+		// Hidden from net/http's type check on purpose: without GetBody it does not
+		// send the request a second time on a fresh connection.
+		body = struct{ io.Reader }{bytes.NewReader(r.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+host+r.Path, body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("request: %w", err)
+	}
+	if r.Body != nil {
+		req.ContentLength = int64(len(r.Body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err != nil {
+		return 0, nil, err
+	}
+	if int64(len(b)) > most {
+		return 0, nil, errors.New("answer too large")
+	}
+	return resp.StatusCode, b, nil
+}
+
+func (c *clients) state(ctx context.Context, call *coordination.StateCall) *storage.Reply {
+	status, body, err := c.do(ctx, c.service, c.cfg.Services.State, protocol.EncodeState(call.Request), call.Timeout, maxStateAnswer)
+	if err == nil {
+		var r *storage.Reply
+		if r, err = protocol.DecodeState(call.Request.Kind, status, body); err == nil {
+			return r
+		}
+		c.log.Warn("state service", "err", err)
+		return r
+	}
+	c.log.Debug("state service", "err", err)
+	return &storage.Reply{Outcome: storage.Lost}
+}
+
+func (c *clients) cloud(ctx context.Context, call *coordination.CloudCall) *coordination.CloudReply {
+	status, body, err := c.do(ctx, c.service, c.cfg.Services.Cloud, protocol.EncodeCloud(call), call.Timeout, maxCloudAnswer)
+	if err == nil {
+		var r *coordination.CloudReply
+		if r, err = protocol.DecodeCloud(call.Kind, status, body); err == nil {
+			return r
+		}
+		c.log.Warn("cloud", "err", err)
+		return r
+	}
+	c.log.Debug("cloud", "err", err)
+	return &coordination.CloudReply{Outcome: coordination.CloudLost}
+}
+
+func (c *clients) worker(ctx context.Context, call *coordination.WorkerCall) *coordination.WorkerReply {
+	r := protocol.HTTPRequest{Method: "GET", Path: "/show"}
+	if !call.Show {
+		r = protocol.HTTPRequest{Method: "POST", Path: "/commands", Body: protocol.EncodeCommands(call)}
+	}
+	status, body, err := c.do(ctx, c.workers, call.Address, r, call.Timeout, maxWorkerAnswer)
+	if err != nil {
+		c.log.Debug("worker", "machine", call.Machine, "err", err)
+		return &coordination.WorkerReply{}
+	}
+	return protocol.DecodeWorker(status, body)
+}
--- /dev/null
+++ b/internal/transport/driver.go
@@ -0,0 +1,233 @@
+// Package transport connects the core with the world: HTTP for users, workers
+// and health checks, clients of state service, cloud and workers, and the
+// connections between controllers. One loop drives the core.
+package transport
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+)
+
+// inputQueue bounds the inputs waiting for the loop.
+const inputQueue = 2048
+
+// Driver runs one controller.
+type Driver struct {
+	cfg     *config.Config
+	log     *slog.Logger
+	core    *coordination.Core
+	start   time.Time
+	inputs  chan coordination.Input
+	healthy atomic.Bool
+	stepped atomic.Int64 // when the loop last went round, in microseconds since start
+
+	mu      sync.Mutex
+	nextReq coordination.RequestID
+	waiting map[coordination.RequestID]chan coordination.Answer
+
+	clients  *clients
+	siblings *siblings
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
+	d := &Driver{cfg: cfg, log: log, start: time.Now(), inputs: make(chan coordination.Input, inputQueue),
+		waiting: map[coordination.RequestID]chan coordination.Answer{}}
+	incarnation := rand.Text()
+	d.core = coordination.New(cfg, incarnation)
+	d.clients = newClients(cfg, log)
+
+	users, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer users.Close()
+	internal, err := net.Listen("tcp", cfg.InternalAddr)
+	if err != nil {
+		return fmt.Errorf("internal_addr: %w", err)
+	}
+	defer internal.Close()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.siblings = newSiblings(cfg, log, d.inputs)
+	d.siblings.run(ctx, internal)
+
+	server := &http.Server{
+		Handler:           d.routes(),
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      10 * time.Second,
+		IdleTimeout:       90 * time.Second,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- server.Serve(&boundedListener{Listener: users, left: int64(cfg.Settings.MachineLimits.MaxConnections * 3 / 4)})
+	}()
+	log.Info("serving", "member", cfg.Member, "incarnation", incarnation, "listen", cfg.Listen, "internal", cfg.InternalAddr)
+	go d.loop(ctx)
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+		shut, done := context.WithTimeout(context.Background(), time.Second)
+		defer done()
+		return server.Shutdown(shut)
+	}
+}
+
+// boundedListener refuses connections beyond a number, so that this process
+// keeps sockets for its own calls. A refused user goes to another controller.
+type boundedListener struct {
+	net.Listener
+	left int64
+}
+
+type boundedConn struct {
+	net.Conn
+	once  sync.Once
+	owner *boundedListener
+}
+
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if atomic.AddInt64(&l.left, -1) < 0 {
+			atomic.AddInt64(&l.left, 1)
+			c.Close()
+			continue
+		}
+		return &boundedConn{Conn: c, owner: l}, nil
+	}
+}
+
+func (c *boundedConn) Close() error {
+	c.once.Do(func() { atomic.AddInt64(&c.owner.left, 1) })
+	return c.Conn.Close()
+}
+
+func (d *Driver) steady() micros.Time { return time.Since(d.start).Microseconds() + 1 }
+
+// loop hands inputs to the core and carries out what it asks for.
+func (d *Driver) loop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	batch := make([]coordination.Input, 0, 64)
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-d.inputs:
+			batch = append(batch, in)
+		case <-timer.C:
+		}
+	more:
+		for len(batch) < cap(batch) {
+			select {
+			case in := <-d.inputs:
+				batch = append(batch, in)
+			default:
+				break more
+			}
+		}
+		out := d.core.Step(d.steady(), time.Now().UnixMicro(), batch...)
+		clear(batch)
+		d.carryOut(ctx, out)
+		d.healthy.Store(d.core.Healthy())
+		d.stepped.Store(d.steady())
+		timer.Reset(micros.Duration(max(0, out.Wake-d.steady())))
+	}
+}
+
+func (d *Driver) carryOut(ctx context.Context, out *coordination.Output) {
+	for _, l := range out.Log {
+		d.log.Log(ctx, slog.Level(l.Level), l.Text, l.Args...)
+	}
+	for i := range out.Answers {
+		d.reply(out.Answers[i])
+	}
+	for i := range out.State {
+		c := &out.State[i]
+		go func() { d.put(ctx, &coordination.StateDone{Call: c.Call, Reply: d.clients.state(ctx, c)}) }()
+	}
+	for i := range out.Cloud {
+		c := &out.Cloud[i]
+		go func() { d.put(ctx, &coordination.CloudDone{Call: c.Call, Reply: d.clients.cloud(ctx, c)}) }()
+	}
+	for i := range out.Workers {
+		c := &out.Workers[i]
+		go func() { d.put(ctx, &coordination.WorkerDone{Call: c.Call, Reply: d.clients.worker(ctx, c)}) }()
+	}
+	for _, p := range out.Peers {
+		d.siblings.send(p.To, p.Status)
+	}
+}
+
+// put hands in a completion; those must not get lost.
+func (d *Driver) put(ctx context.Context, in coordination.Input) {
+	select {
+	case d.inputs <- in:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Driver) reply(a coordination.Answer) {
+	d.mu.Lock()
+	ch := d.waiting[a.Request]
+	delete(d.waiting, a.Request)
+	d.mu.Unlock()
+	if ch != nil {
+		ch <- a // has room for one
+	}
+}
+
+// ask hands a request to the core and waits for the answer; none in time, or no
+// room for it, is the false return.
+func (d *Driver) ask(ctx context.Context, patience time.Duration, make func(coordination.RequestID) coordination.Input) (coordination.Answer, bool) {
+	ch := d.expect()
+	d.mu.Lock()
+	d.nextReq++
+	id := d.nextReq
+	d.waiting[id] = ch
+	d.mu.Unlock()
+	forget := func() {
+		d.mu.Lock()
+		delete(d.waiting, id)
+		d.mu.Unlock()
+	}
+	select {
+	case d.inputs <- make(id):
+	default:
+		forget()
+		return coordination.Answer{}, false
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case a := <-ch:
+		return a, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	forget()
+	return coordination.Answer{}, false
+}
+
+func (d *Driver) expect() chan coordination.Answer { return make(chan coordination.Answer, 1) }
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,180 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/failsafe-go/failsafe-go/adaptivelimiter"
+	"github.com/go-chi/chi/v5"
+
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/protocol"
+)
+
+// patience is how long a request may be in progress: users and workers give up
+// after 5 s and 4 s.
+const patience = 3500 * time.Millisecond
+
+// admission limits users' requests in progress; the limit adjusts itself to how
+// long they take. What is above it is refused at once, never queued. Reports,
+// probes and cancellations are not subject to it.
+type admission struct {
+	limiter adaptivelimiter.AdaptiveLimiter[any]
+}
+
+func newAdmission(most uint) *admission {
+	return &admission{adaptivelimiter.NewBuilder[any]().WithLimits(min(16, most), most, min(64, most)).
+		WithMaxLimitFactor(16).Build()}
+}
+
+func (a *admission) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		permit, ok := a.limiter.TryAcquirePermit()
+		if !ok {
+			refuse(w, http.StatusTooManyRequests, "too many requests", micros.Second)
+			return
+		}
+		defer permit.Record()
+		next(w, r)
+	}
+}
+
+func (d *Driver) routes() http.Handler {
+	adm := newAdmission(uint(d.cfg.Operator.MaxInProgress))
+	r := chi.NewRouter()
+	r.Get("/up", d.up)
+	r.Post("/v1/report", d.report)
+	r.Post("/submissions", adm.guard(d.submit))
+	r.Get("/submissions/{id}", adm.guard(d.lookup))
+	r.Post("/submissions/{id}/abort", d.abort)
+	return r
+}
+
+func write(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the client may be gone; there is nobody to tell
+}
+
+func refuse(w http.ResponseWriter, status int, why string, after micros.Time) {
+	w.Header().Set("Retry-After", strconv.FormatInt((after+micros.Second-1)/micros.Second, 10))
+	write(w, status, protocol.EncodeError(why))
+}
+
+func (d *Driver) up(w http.ResponseWriter, _ *http.Request) {
+	if !d.healthy.Load() || d.steady()-d.stepped.Load() > 2*micros.Second {
+		refuse(w, http.StatusServiceUnavailable, "not ready", micros.Second)
+		return
+	}
+	write(w, http.StatusOK, []byte("{}"))
+}
+
+// body reads a request's body and answers if that fails.
+func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err == nil {
+		return b, true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		write(w, http.StatusBadRequest, protocol.EncodeError("body too large"))
+	} else {
+		write(w, http.StatusBadRequest, protocol.EncodeError("body cannot be read"))
+	}
+	return nil, false
+}
+
+// user asks the core and writes its answer to a user.
+func (d *Driver) user(w http.ResponseWriter, r *http.Request, make func(coordination.RequestID) coordination.Input) {
+	a, ok := d.ask(r.Context(), patience, make)
+	if !ok {
+		refuse(w, http.StatusServiceUnavailable, "no answer in time", micros.Second)
+		return
+	}
+	switch a.Kind {
+	case coordination.Accepted:
+		write(w, http.StatusCreated, protocol.EncodeJob(a.Job))
+	case coordination.View:
+		write(w, http.StatusOK, protocol.EncodeJob(a.Job))
+	case coordination.Malformed:
+		write(w, http.StatusBadRequest, protocol.EncodeError(a.Text))
+	case coordination.Impossible:
+		write(w, http.StatusUnprocessableEntity, protocol.EncodeError(a.Text))
+	case coordination.Missing:
+		write(w, http.StatusNotFound, protocol.EncodeError("no such job"))
+	case coordination.Overloaded:
+		refuse(w, http.StatusTooManyRequests, a.Text, a.RetryAfter)
+	default:
+		refuse(w, http.StatusServiceUnavailable, a.Text, a.RetryAfter)
+	}
+}
+
+func (d *Driver) submit(w http.ResponseWriter, r *http.Request) {
+	b, ok := body(w, r, protocol.MaxBody)
+	if !ok {
+		return
+	}
+	id, job, err := protocol.ParseSubmission(b)
+	fault := ""
+	if err != nil {
+		fault, job = err.Error(), nil
+	}
+	d.user(w, r, func(req coordination.RequestID) coordination.Input {
+		return &coordination.Submit{Request: req, ID: id, Job: job, Fault: fault}
+	})
+}
+
+func (d *Driver) lookup(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	if !protocol.ValidRef(id) {
+		write(w, http.StatusNotFound, protocol.EncodeError("no such job"))
+		return
+	}
+	d.user(w, r, func(req coordination.RequestID) coordination.Input {
+		return &coordination.Lookup{Request: req, ID: id}
+	})
+}
+
+func (d *Driver) abort(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	if !protocol.ValidRef(id) {
+		write(w, http.StatusNotFound, protocol.EncodeError("no such job"))
+		return
+	}
+	d.user(w, r, func(req coordination.RequestID) coordination.Input {
+		return &coordination.Cancel{Request: req, ID: id}
+	})
+}
+
+// maxReport bounds a worker's report; it has no limit of its own in the
+// protocol but that of all bodies.
+const maxReport = protocol.MaxBody
+
+func (d *Driver) report(w http.ResponseWriter, r *http.Request) {
+	b, ok := body(w, r, maxReport)
+	if !ok {
+		return
+	}
+	rep, err := protocol.ParseReport(b)
+	if err != nil {
+		d.log.Warn("bad report", "err", err, "remote", r.RemoteAddr)
+		write(w, http.StatusBadRequest, protocol.EncodeError(err.Error()))
+		return
+	}
+	a, ok := d.ask(r.Context(), 2*time.Second, func(req coordination.RequestID) coordination.Input {
+		return &coordination.ReportIn{Request: req, Report: rep}
+	})
+	switch {
+	case ok && a.Kind == coordination.Orders:
+		write(w, http.StatusOK, protocol.EncodeOrders(a.Token, a.Commands))
+	case ok && a.Kind == coordination.Elsewhere:
+		write(w, http.StatusMisdirectedRequest, protocol.EncodeElsewhere(a.Steward))
+	default:
+		refuse(w, http.StatusServiceUnavailable, "cannot answer reports now", micros.Second)
+	}
+}
