--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,87 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestScenarios plays every file of testdata: no rule may be broken, and each
+// expectation has to be met.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			logf := func(string, ...any) {}
+			if os.Getenv("SCENARIO_LOG") != "" {
+				logf = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+			}
+			r, err := Play(string(text), logf)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.Broken {
+				t.Errorf("rule broken: %s", b)
+			}
+			for _, b := range r.Failed {
+				t.Error(b)
+			}
+			if r.Starts == 0 && !strings.Contains(string(text), "never-started") {
+				t.Error("rule broken: nothing_ran")
+			}
+		})
+	}
+}
+
+// faults a drawn scenario may have; %d is a length or a delay in seconds.
+var faults = []string{
+	"state down for=%d", "state down-for holder for=%d", "state slow 0.4 for=%d", "state lose 0.3 for=%d", "state late 0.3 for=%d",
+	"crash holder back=%d", "crash all back=%d", "crash others back=%d", "crash holder back=0.2", "roll every=%d back=3", "pause holder for=%d",
+	"cut holder others for=%d", "cut holder state hold for=%d", "cut holder for=%d", "cut all hold for=%d",
+	"worker any die", "worker any hang for=%d", "worker spot take", "worker spot take notice=%d", "worker any sick", "worker any slow factor=4",
+	"cut vm-000001 hold for=%d", "cut vm-000002 for=%d", "cut vm-000001 holder hold for=%d",
+	"cloud down for=%d", "cloud late 8 for=%d", "cloud neverup 0.5 for=%d", "cloud slowboot 3 for=%d", "cloud full for=%d",
+}
+
+// TestDrawnFaults draws two or three faults at once; whatever happens, no rule
+// may be broken and, in the end, every accepted job is done.
+func TestDrawnFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b strings.Builder
+		fmt.Fprintf(&b, "cluster teams=alpha:16:24,beta:8:40 queues=%d seed=%d\n", rapid.IntRange(1, 2).Draw(t, "queues"), rapid.IntRange(1, 1000).Draw(t, "seed"))
+		b.WriteString("type small cores=8 ram=32 zones=a,b room=3 spot_room=2 boot=15\n")
+		b.WriteString("at 0 submit wk-000001 shape=service rank=production cores=2\n")
+		b.WriteString("at 1 submit wk-000010 jobs=4 every=3 tasks=5 cores=4 runs=8 spot=yes team=alpha\n")
+		b.WriteString("at 2 submit wk-000020 jobs=3 every=9 tasks=4 cores=2 runs=12 apart=yes team=beta\n")
+		b.WriteString("at 30 submit wk-000030 tasks=6 cores=2 runs=30 one_zone=yes team=beta\n")
+		fmt.Fprintf(&b, "at %d cancel wk-000030\n", rapid.IntRange(32, 60).Draw(t, "cancel"))
+		for range rapid.IntRange(1, 3).Draw(t, "faults") {
+			f := rapid.SampledFrom(faults).Draw(t, "fault")
+			at := rapid.IntRange(5, 60).Draw(t, "at")
+			if strings.Contains(f, "%d") {
+				f = fmt.Sprintf(f, rapid.IntRange(2, 25).Draw(t, "for"))
+			}
+			fmt.Fprintf(&b, "at %d %s\n", at, f)
+		}
+		b.WriteString("until 260\nexpect done all\n")
+		r, err := Play(b.String(), func(string, ...any) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Broken)+len(r.Failed) > 0 {
+			t.Fatalf("%s\nbroken: %s\nfailed: %s", b.String(), strings.Join(r.Broken, "\n"), strings.Join(r.Failed, "\n"))
+		}
+	})
+}
--- /dev/null
+++ b/internal/scenario/script.go
@@ -0,0 +1,458 @@
+package scenario
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/micros"
+)
+
+// line is one line of a scenario: words, then settings of the form key=value.
+type line struct {
+	no    int
+	words []string
+	set   map[string]string
+}
+
+func (l *line) word(i int) string {
+	if i < len(l.words) {
+		return l.words[i]
+	}
+	return ""
+}
+
+func (l *line) num(key string, d float64) float64 {
+	if v, err := strconv.ParseFloat(l.set[key], 64); err == nil {
+		return v
+	}
+	return d
+}
+
+func (l *line) secs(key string, d float64) micros.Time { return micros.FromSeconds(l.num(key, d)) }
+
+func parseLine(no int, text string) *line {
+	l := &line{no: no, set: map[string]string{}}
+	text, _, _ = strings.Cut(text, "#")
+	for _, f := range strings.Fields(text) {
+		if k, v, ok := strings.Cut(f, "="); ok && k != "" {
+			l.set[k] = v
+		} else {
+			l.words = append(l.words, f)
+		}
+	}
+	return l
+}
+
+// Result is what a scenario came to.
+type Result struct {
+	Broken []string // rules
+	Failed []string // expectations
+	Starts int
+}
+
+// Play plays a scenario. The same text gives the same result every time.
+func Play(text string, logf func(string, ...any)) (*Result, error) {
+	var lines []*line
+	sc := bufio.NewScanner(strings.NewReader(text))
+	for no := 1; sc.Scan(); no++ {
+		if l := parseLine(no, sc.Text()); len(l.words) > 0 {
+			lines = append(lines, l)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return nil, err
+	}
+	if len(lines) == 0 || lines[0].word(0) != "cluster" {
+		return nil, fmt.Errorf("a scenario begins with a cluster line")
+	}
+	w, err := newWorld(lines[0], logf)
+	if err != nil {
+		return nil, err
+	}
+	until := micros.Time(0)
+	var expects []*line
+	for _, l := range lines[1:] {
+		switch l.word(0) {
+		case "type":
+			w.addType(l)
+		case "machine":
+			for _, t := range w.cloud.types {
+				if t.name == l.word(1) {
+					w.cloud.add(t, l.set["zone"], l.word(2) == "spot", true)
+				}
+			}
+		case "at":
+			at, err := strconv.ParseFloat(l.word(1), 64)
+			if err != nil {
+				return nil, fmt.Errorf("line %d: when?", l.no)
+			}
+			rest := &line{no: l.no, words: l.words[2:], set: l.set}
+			if err := w.known(rest); err != nil {
+				return nil, fmt.Errorf("line %d: %w", l.no, err)
+			}
+			w.after(micros.FromSeconds(at), func() { w.act(rest) })
+		case "until":
+			s, err := strconv.ParseFloat(l.word(1), 64)
+			if err != nil {
+				return nil, fmt.Errorf("line %d: until when?", l.no)
+			}
+			until = micros.FromSeconds(s)
+		case "expect":
+			expects = append(expects, l)
+		default:
+			return nil, fmt.Errorf("line %d: unknown: %s", l.no, l.word(0))
+		}
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	w.run(until)
+	r := &Result{Broken: w.broken, Starts: w.users.started_}
+	for _, l := range expects {
+		if why := w.expect(l); why != "" {
+			r.Failed = append(r.Failed, fmt.Sprintf("line %d: expected %s: %s", l.no, strings.Join(l.words[1:], " "), why))
+		}
+	}
+	return r, nil
+}
+
+func newWorld(l *line, logf func(string, ...any)) (*World, error) {
+	seed := uint64(l.num("seed", 1))
+	w := &World{rng: rand.New(rand.NewPCG(seed, 7)), logf: logf}
+	nodes := int(l.num("nodes", 3))
+	var toml strings.Builder
+	fmt.Fprintf(&toml, "zone = \"a\"\nlisten = \"10.0.0.1:8080\"\ninternal_addr = \"10.0.0.1:8081\"\n[services]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n")
+	fmt.Fprintf(&toml, "[settings]\nnodes = %d\nzones = [\"a\", \"b\"]\nskew_ms = 5.0\n", nodes)
+	teams := l.set["teams"]
+	if teams == "" {
+		teams = "alpha"
+	}
+	for _, t := range strings.Split(teams, ",") {
+		p := append(strings.Split(t, ":"), "0", "0")
+		fmt.Fprintf(&toml, "[[settings.teams]]\nname = %q\ncpus = %s.0\ncpus_max = %s.0\n", p[0], p[1], p[2])
+	}
+	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = 1.5\nlease_s = %v\ncancel_s = %v\n", l.num("lease", 10), l.num("cancel", 35))
+	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
+	fmt.Fprintf(&toml, "[settings.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = 125.0\nmax_connections = 1000\n")
+	operator := fmt.Sprintf("queues: %d", int(l.num("queues", 1)))
+	for i := range nodes {
+		var own strings.Builder
+		fmt.Fprintf(&own, "member = \"node-%d\"\n", i)
+		body := toml.String()
+		var sib strings.Builder
+		for k := range nodes {
+			if k != i {
+				fmt.Fprintf(&sib, "[[siblings]]\nmember = \"node-%d\"\nzone = \"a\"\naddress = \"10.0.0.%d:8081\"\n", k, k+1)
+			}
+		}
+		conf, err := config.Parse([]byte(own.String()+strings.Replace(body, "[services]", sib.String()+"[services]", 1)), []byte(operator))
+		if err != nil {
+			return nil, fmt.Errorf("cluster: %w", err)
+		}
+		w.conf = conf
+		w.nodes = append(w.nodes, &node{w: w, name: conf.Member, conf: conf, drift: 1 + (w.rng.Float64()-0.5)*0.001,
+			skew: micros.Time((w.rng.Float64() - 0.5) * 10_000)})
+	}
+	w.state = newState(w)
+	w.state.keep = int(l.num("keep", 10_000))
+	w.cloud = newCloud(w)
+	w.users = newUsers(w)
+	return w, nil
+}
+
+func (w *World) addType(l *line) {
+	t := &machineType{name: l.word(1), cores: l.num("cores", 8), ram: l.num("ram", 32), price: l.num("price", 0.4), spot: l.num("spot_price", 0.15),
+		cache: l.num("cache", 80), fetch: l.num("fetch", 0.5), boot: l.secs("boot", 20), room: map[string]int{}}
+	zones := l.set["zones"]
+	if zones == "" {
+		zones = "a"
+	}
+	t.zones = strings.Split(zones, ",")
+	for _, z := range t.zones {
+		t.room[z+"/ordinary"] = int(l.num("room", 5))
+		t.room[z+"/spot"] = int(l.num("spot_room", 3))
+	}
+	w.cloud.types = append(w.cloud.types, t)
+}
+
+// nodesFor finds nodes by name, or "holder", "others" or "all".
+func (w *World) nodesFor(what string) []*node {
+	switch what {
+	case "all":
+		return w.nodes
+	case "holder":
+		return []*node{w.holder()}
+	case "others":
+		h := w.holder()
+		var out []*node
+		for _, n := range w.nodes {
+			if n != h {
+				out = append(out, n)
+			}
+		}
+		return out
+	}
+	if n := w.node(what); n != nil {
+		return []*node{n}
+	}
+	return nil
+}
+
+var actions = map[string]bool{"submit": true, "resubmit": true, "cancel": true, "strangers": true, "crash": true, "start": true, "roll": true,
+	"pause": true, "cut": true, "state": true, "cloud": true, "worker": true}
+
+func (w *World) known(l *line) error {
+	if !actions[l.word(0)] {
+		return fmt.Errorf("unknown action %q", l.word(0))
+	}
+	return nil
+}
+
+// act carries out one line.
+func (w *World) act(l *line) {
+	length := l.secs("for", 10)
+	switch l.word(0) {
+	case "submit":
+		u := w.users
+		for i := range int(l.num("jobs", 1)) {
+			ref := l.word(1)
+			if i > 0 {
+				n, _ := strconv.Atoi(strings.TrimPrefix(ref, "wk-"))
+				ref = fmt.Sprintf("wk-%06d", n+i)
+			}
+			j := u.parse(ref, l.set)
+			w.after(micros.Time(i)*l.secs("every", 0.2), func() { u.submit(j) })
+		}
+	case "resubmit":
+		if j := w.users.jobs[l.word(1)]; j != nil {
+			w.users.submit(j)
+		}
+	case "cancel":
+		if j := w.users.jobs[l.word(1)]; j != nil {
+			w.users.cancel(j)
+		}
+	case "strangers":
+		for i := range int(l.num("n", 10)) {
+			w.after(micros.Time(i)*5*micros.Millisecond, func() { w.users.stranger(fmt.Sprintf("wk-9%05d", i)) })
+		}
+	case "crash":
+		for _, n := range w.nodesFor(l.word(1)) {
+			n.crash()
+			if l.set["back"] != "" {
+				w.after(l.secs("back", 3), n.start)
+			}
+		}
+	case "start":
+		for _, n := range w.nodesFor(l.word(1)) {
+			n.start()
+		}
+	case "roll":
+		for i, n := range w.nodes {
+			w.after(micros.Time(i)*l.secs("every", 10), func() {
+				n.crash()
+				w.after(l.secs("back", 3), n.start)
+			})
+		}
+	case "pause":
+		for _, n := range w.nodesFor(l.word(1)) {
+			n.paused = true
+			life := n.life
+			w.after(length, func() {
+				if n.life == life && n.paused {
+					n.paused = false
+					in := n.inbox
+					n.inbox = nil
+					n.step(in...)
+				}
+			})
+		}
+	case "cut":
+		hold := l.word(len(l.words)-1) == "hold"
+		var ends [2][]string
+		for i := range 2 {
+			what := l.word(i + 1)
+			if what == "" || (hold && what == "hold") {
+				ends[i] = []string{""}
+				continue
+			}
+			for _, n := range w.nodesFor(what) {
+				ends[i] = append(ends[i], n.name)
+			}
+			for _, m := range w.cloud.pick(what) {
+				ends[i] = append(ends[i], m.name)
+			}
+			if len(ends[i]) == 0 {
+				ends[i] = []string{what}
+			}
+		}
+		for _, a := range ends[0] {
+			for _, b := range ends[1] {
+				if a != b {
+					w.startCut(a, b, hold, length)
+				}
+			}
+		}
+	case "state":
+		w.actState(l, length)
+	case "cloud":
+		w.actCloud(l, length)
+	case "worker":
+		for _, m := range w.cloud.pick(l.word(1)) {
+			switch l.word(2) {
+			case "die":
+				m.vanish()
+			case "hang":
+				m.hang(length)
+			case "sick":
+				m.sick = true
+			case "slow":
+				m.speed *= l.num("factor", 3)
+			case "take":
+				notice := l.secs("notice", 0)
+				if notice > 0 {
+					m.recall = w.now + notice
+					m.changed()
+				}
+				w.after(notice, func() {
+					m.vanish()
+					m.deleted = true
+				})
+			}
+		}
+	}
+}
+
+func (w *World) actState(l *line, length micros.Time) {
+	s := w.state
+	share, _ := strconv.ParseFloat(l.word(2), 64)
+	switch l.word(1) {
+	case "down":
+		s.outage(true)
+		w.after(length, func() { s.outage(false) })
+	case "down-for":
+		for _, n := range w.nodesFor(l.word(2)) {
+			s.downFor[n.name] = true
+			w.after(length, func() { delete(s.downFor, n.name); s.wake() })
+		}
+	case "slow":
+		s.slow = micros.FromSeconds(share)
+		w.after(length, func() { s.slow = 0 })
+	case "lose":
+		s.loseShare = share
+		w.after(length, func() { s.loseShare = 0 })
+	case "late":
+		s.lateShare = share
+		w.after(length, func() { s.lateShare = 0 })
+	}
+}
+
+func (w *World) actCloud(l *line, length micros.Time) {
+	c := w.cloud
+	v, _ := strconv.ParseFloat(l.word(2), 64)
+	switch l.word(1) {
+	case "down":
+		c.down = true
+		w.after(length, func() { c.down = false })
+	case "late":
+		c.late = micros.FromSeconds(v)
+		w.after(length, func() { c.late = 0 })
+	case "neverup":
+		c.neverUp = v
+		w.after(length, func() { c.neverUp = 0 })
+	case "slowboot":
+		c.slowBoot = v
+		w.after(length, func() { c.slowBoot = 1 })
+	case "full":
+		for _, t := range c.types {
+			if l.word(2) == "" || t.name == l.word(2) {
+				old := t.room
+				t.room = map[string]int{}
+				w.after(length, func() {
+					for k, n := range old {
+						t.room[k] += n
+					}
+				})
+			}
+		}
+	}
+}
+
+// expect says why an expectation is not met, or nothing.
+func (w *World) expect(l *line) string {
+	what, ref := l.word(1), l.word(2)
+	j := w.users.jobs[ref]
+	if strings.HasPrefix(ref, "wk-") && j == nil {
+		return "no such job"
+	}
+	switch what {
+	case "done":
+		if ref == "all" {
+			if open := w.users.open(); len(open) > 0 {
+				return fmt.Sprintf("%d are not: %v", len(open), open[:min(5, len(open))])
+			}
+			return ""
+		}
+		if !j.toldDone {
+			return fmt.Sprintf("%d of %d tasks done, told %q", len(j.done), j.shards, j.lastPhase)
+		}
+	case "cancelled":
+		if j.cancelled == 0 {
+			return "not cancelled, told " + j.lastPhase
+		}
+	case "refused":
+		if strconv.Itoa(j.refused) != l.word(3) {
+			return fmt.Sprintf("answered %d", j.refused)
+		}
+	case "accepted":
+		if j.accepted == 0 || j.accepted-j.first > l.secs("within", 60) {
+			return fmt.Sprintf("accepted after %v s", micros.Seconds(j.accepted-j.first))
+		}
+	case "started":
+		if j.firstStart == 0 || j.firstStart-j.first > l.secs("within", 60) {
+			return fmt.Sprintf("started after %v s", micros.Seconds(j.firstStart-j.first))
+		}
+	case "never-started":
+		if j.starts > 0 {
+			return fmt.Sprintf("%d starts", j.starts)
+		}
+	case "up": // replica time in seconds, at least
+		if got := micros.Seconds(j.replicaTime); got < l.num("least", 0) {
+			return fmt.Sprintf("%.1f s", got)
+		}
+	case "starts":
+		if float64(j.starts) > l.num("most", 1) {
+			return fmt.Sprintf("%d starts", j.starts)
+		}
+	case "machines":
+		n := 0
+		for _, m := range w.cloud.sorted() {
+			if !m.gone && !m.deleted {
+				n++
+			}
+		}
+		if float64(n) > l.num("most", 1e9) || float64(n) < l.num("least", 0) {
+			return fmt.Sprintf("%d machines", n)
+		}
+	case "gone": // a machine
+		if m := w.cloud.machines[ref]; m == nil || !m.deleted {
+			return "it is there"
+		}
+	case "holders":
+		got := map[string]bool{}
+		for _, m := range w.cloud.sorted() {
+			if m.booted && !m.gone {
+				got[m.steward] = true
+			}
+		}
+		if len(got) < int(l.num("least", 1)) {
+			return fmt.Sprintf("%v", got)
+		}
+	default:
+		return "unknown expectation"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/scenario/state.go
@@ -0,0 +1,333 @@
+package scenario
+
+import (
+	"encoding/json"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/protocol"
+)
+
+type stateKey struct {
+	value  json.RawMessage
+	stamp  uint64
+	permit uint64
+}
+
+type stateEvent struct {
+	stamp  uint64
+	key    string
+	value  json.RawMessage
+	delete bool
+}
+
+type watcher struct {
+	from  string
+	under string
+	after uint64
+	reply func(int, []byte)
+	done  bool
+}
+
+// stateService is a stand-in of the state service.
+type stateService struct {
+	w        *World
+	keys     map[string]stateKey
+	ledger   uint64
+	log      []stateEvent
+	keep     int
+	permits  map[uint64]micros.Time // ends
+	ttl      map[uint64]micros.Time
+	next     uint64
+	watchers []*watcher
+
+	down      bool
+	downFor   map[string]bool
+	slow      micros.Time
+	loseShare float64 // of transactions: executed, but not answered
+	lateShare float64 // of transactions: executed late, and not answered
+	txnOps    int
+	valueMax  int
+}
+
+func newState(w *World) *stateService {
+	s := &stateService{w: w, keys: map[string]stateKey{}, keep: 10_000, permits: map[uint64]micros.Time{}, ttl: map[uint64]micros.Time{},
+		downFor: map[string]bool{}, txnOps: w.conf.Settings.State.TxnOps, valueMax: int(w.conf.Settings.State.ValueKB * 1024)}
+	s.sweep()
+	return s
+}
+
+// sweep ends permits.
+func (s *stateService) sweep() {
+	if !s.down {
+		for _, id := range sortedU64(s.permits) {
+			if s.w.now > s.permits[id] {
+				s.end(id)
+			}
+		}
+	}
+	s.w.after(50*micros.Millisecond, s.sweep)
+}
+
+func sortedU64[V any](m map[uint64]V) []uint64 {
+	out := make([]uint64, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (s *stateService) end(id uint64) {
+	delete(s.permits, id)
+	var gone []string
+	for k, v := range s.keys {
+		if v.permit == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	if len(gone) == 0 {
+		return
+	}
+	s.ledger++
+	for _, k := range gone {
+		delete(s.keys, k)
+		s.log = append(s.log, stateEvent{stamp: s.ledger, key: k, delete: true})
+	}
+	s.wake()
+}
+
+// outage begins or ends an outage for all. After one, permits have their full
+// time again.
+func (s *stateService) outage(down bool) {
+	s.down = down
+	if !down {
+		for id := range s.permits {
+			s.permits[id] = s.w.now + s.ttl[id]
+		}
+		s.wake()
+	}
+}
+
+func (s *stateService) refused(from string) bool { return s.down || s.downFor[from] }
+
+func (s *stateService) wake() {
+	if len(s.log) > 2*s.keep {
+		s.log = append([]stateEvent(nil), s.log[len(s.log)-s.keep:]...)
+	}
+	var rest []*watcher
+	for _, x := range s.watchers {
+		if x.done {
+			continue
+		}
+		if s.refused(x.from) || !s.answer(x, false) {
+			rest = append(rest, x)
+		}
+	}
+	s.watchers = rest
+}
+
+func (s *stateService) answer(x *watcher, timeUp bool) bool {
+	type change struct {
+		Set    string          `json:"set,omitempty"`
+		V      json.RawMessage `json:"v,omitempty"`
+		Delete string          `json:"delete,omitempty"`
+		Stamp  uint64          `json:"stamp"`
+	}
+	changes := []change{}
+	for _, e := range s.log {
+		if e.stamp > x.after && strings.HasPrefix(e.key, x.under) {
+			if e.delete {
+				changes = append(changes, change{Delete: e.key, Stamp: e.stamp})
+			} else {
+				changes = append(changes, change{Set: e.key, V: e.value, Stamp: e.stamp})
+			}
+		}
+	}
+	if len(changes) == 0 && !timeUp {
+		return false
+	}
+	x.done = true
+	x.reply(200, encode(map[string]any{"ledger": s.ledger, "log": changes}))
+	return true
+}
+
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func (s *stateService) handle(from string, r protocol.HTTPRequest, reply func(int, []byte)) {
+	delay := 1*micros.Millisecond + s.w.rng.Int64N(3*micros.Millisecond) + s.slow
+	s.w.after(delay, func() {
+		if s.refused(from) {
+			reply(503, []byte(`{"error":"unavailable"}`))
+			return
+		}
+		s.serve(from, r, reply)
+	})
+}
+
+func (s *stateService) serve(from string, r protocol.HTTPRequest, reply func(int, []byte)) {
+	u, err := url.Parse(r.Path)
+	if err != nil {
+		reply(400, nil)
+		return
+	}
+	q := u.Query()
+	switch {
+	case r.Method == "GET" && u.Path == "/store":
+		s.list(q, reply)
+	case r.Method == "GET" && strings.HasPrefix(u.Path, "/store/"):
+		key := strings.TrimPrefix(u.Path, "/store/")
+		if v, ok := s.keys[key]; ok {
+			reply(200, encode(map[string]any{"key": key, "v": v.value, "stamp": v.stamp, "permit": v.permit}))
+		} else {
+			reply(404, encode(map[string]any{"ledger": s.ledger}))
+		}
+	case r.Method == "GET" && u.Path == "/changes":
+		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+		block, _ := strconv.ParseInt(q.Get("block_ms"), 10, 64)
+		if len(s.log) > s.keep {
+			s.log = append([]stateEvent(nil), s.log[len(s.log)-s.keep:]...)
+		}
+		if len(s.log) == s.keep && s.log[0].stamp > after+1 {
+			reply(410, nil)
+			return
+		}
+		x := &watcher{from: from, under: q.Get("under"), after: after, reply: reply}
+		if s.answer(x, block == 0) {
+			return
+		}
+		s.watchers = append(s.watchers, x)
+		var timeUp func()
+		timeUp = func() {
+			if x.done {
+				return
+			}
+			if s.refused(from) {
+				s.w.after(100*micros.Millisecond, timeUp) // stays open
+				return
+			}
+			s.answer(x, true)
+		}
+		s.w.after(block*micros.Millisecond, timeUp)
+	case r.Method == "POST" && u.Path == "/grants":
+		var g struct {
+			TTL int64 `json:"ttl_ms"`
+		}
+		if json.Unmarshal(r.Body, &g) != nil || g.TTL < 100 || g.TTL > 600_000 {
+			reply(400, nil)
+			return
+		}
+		s.next++
+		s.ttl[s.next] = g.TTL * micros.Millisecond
+		s.permits[s.next] = s.w.now + s.ttl[s.next]
+		reply(200, encode(map[string]any{"permit": s.next}))
+	case r.Method == "POST" && strings.HasSuffix(u.Path, "/touch"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimPrefix(u.Path, "/grants/"), "/touch"), 10, 64)
+		if _, ok := s.permits[id]; !ok {
+			reply(404, []byte(`{}`))
+			return
+		}
+		s.permits[id] = s.w.now + s.ttl[id]
+		reply(200, encode(map[string]any{"permit": id}))
+	case r.Method == "POST" && u.Path == "/commit":
+		switch x := s.w.rng.Float64(); {
+		case x < s.loseShare:
+			s.commit(r.Body)
+		case x < s.loseShare+s.lateShare:
+			body := r.Body
+			s.w.after(micros.Second+s.w.rng.Int64N(20*micros.Second), func() {
+				if !s.down {
+					s.commit(body)
+				}
+			})
+		default:
+			reply(s.commit(r.Body))
+		}
+	default:
+		reply(404, nil)
+	}
+}
+
+func (s *stateService) list(q url.Values, reply func(int, []byte)) {
+	var keys []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("under")) && k > q.Get("after") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	page, _ := strconv.Atoi(q.Get("page"))
+	if page <= 0 || page > 1000 {
+		page = 1000
+	}
+	more := len(keys) > page
+	keys = keys[:min(page, len(keys))]
+	rows := []map[string]any{}
+	for _, k := range keys {
+		rows = append(rows, map[string]any{"key": k, "v": s.keys[k].value, "stamp": s.keys[k].stamp})
+	}
+	reply(200, encode(map[string]any{"rows": rows, "has_next": more, "ledger": s.ledger}))
+}
+
+func (s *stateService) commit(body []byte) (int, []byte) {
+	var t struct {
+		If []struct {
+			Key   string `json:"key"`
+			Stamp uint64 `json:"stamp"`
+		} `json:"if"`
+		Writes []struct {
+			Set    string          `json:"set"`
+			V      json.RawMessage `json:"v"`
+			Permit uint64          `json:"permit"`
+			Delete string          `json:"delete"`
+		} `json:"writes"`
+	}
+	if json.Unmarshal(body, &t) != nil || len(t.Writes) > s.txnOps || len(t.If) > 4*s.txnOps || len(body) > 64<<10 {
+		return 400, []byte(`{"error":"malformed"}`)
+	}
+	var failed []string
+	for _, c := range t.If {
+		if s.keys[c.Key].stamp != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 409, encode(map[string]any{"failed": failed, "ledger": s.ledger})
+	}
+	for _, x := range t.Writes {
+		if len(x.V) > s.valueMax {
+			return 400, []byte(`{"error":"value too large"}`)
+		}
+		if x.Set != "" && x.Permit != 0 {
+			if _, ok := s.permits[x.Permit]; !ok {
+				return 400, []byte(`{"error":"no such lease"}`)
+			}
+		}
+	}
+	if len(t.Writes) > 0 {
+		s.ledger++
+	}
+	for _, x := range t.Writes {
+		if x.Delete != "" {
+			if _, ok := s.keys[x.Delete]; ok {
+				delete(s.keys, x.Delete)
+				s.log = append(s.log, stateEvent{stamp: s.ledger, key: x.Delete, delete: true})
+			}
+			continue
+		}
+		s.keys[x.Set] = stateKey{x.V, s.ledger, x.Permit}
+		s.log = append(s.log, stateEvent{stamp: s.ledger, key: x.Set, value: x.V})
+	}
+	s.wake()
+	return 200, encode(map[string]any{"ledger": s.ledger})
+}
--- /dev/null
+++ b/internal/scenario/users.go
@@ -0,0 +1,364 @@
+package scenario
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/protocol"
+)
+
+// userJob is a job as its user knows it.
+type userJob struct {
+	ref           string
+	shape         string
+	owner         string
+	shards        int
+	cores, ram    float64
+	bundle        string
+	sizeGB        float64
+	hulls         []string
+	berth         string
+	oneZone       bool
+	apart         bool
+	loaners       bool
+	runs          micros.Time // true run time
+	snapshotEvery float64
+	snapshotS     float64
+	mistaken      bool
+	body          []byte
+
+	sent        bool
+	first       micros.Time
+	accepted    micros.Time // 0: not yet
+	refused     int
+	done        map[int]bool
+	wantCancel  bool
+	cancelled   micros.Time // when its user was told
+	toldDone    bool
+	lastPhase   string
+	starts      int
+	firstStart  micros.Time
+	replicaTime micros.Time
+}
+
+// users submit, poll and cancel, and hold every answer against the rules.
+type users struct {
+	w        *World
+	jobs     map[string]*userJob
+	order    []string
+	strange  int // polls for jobs that nobody submitted
+	started_ int
+}
+
+func newUsers(w *World) *users {
+	u := &users{w: w, jobs: map[string]*userJob{}}
+	u.watch()
+	return u
+}
+
+// ask sends a request to some node and calls then with the status; 0: none.
+func (u *users) ask(make func(coordination.RequestID) coordination.Input, then func(status int, body []byte)) {
+	w := u.w
+	var up []*node
+	for _, n := range w.nodes {
+		if n.up() && !n.paused {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		w.after(10*micros.Millisecond, func() { then(0, nil) })
+		return
+	}
+	n := up[w.rng.IntN(len(up))]
+	over := false
+	end := func(status int, body []byte) {
+		if !over {
+			over = true
+			then(status, body)
+		}
+	}
+	w.after(5*micros.Second, func() { end(0, nil) })
+	w.send("users", n.name, func() {
+		n.ask(make, func(a coordination.Answer) {
+			status, body := 503, []byte(nil)
+			switch a.Kind {
+			case coordination.Accepted:
+				status, body = 201, protocol.EncodeJob(a.Job)
+			case coordination.View:
+				status, body = 200, protocol.EncodeJob(a.Job)
+			case coordination.Malformed:
+				status = 400
+			case coordination.Impossible:
+				status = 422
+			case coordination.Missing:
+				status = 404
+			case coordination.Overloaded:
+				status = 429
+			}
+			w.send(n.name, "users", func() { end(status, body) })
+		})
+	})
+}
+
+func (u *users) submit(j *userJob) {
+	if u.jobs[j.ref] == nil {
+		u.jobs[j.ref] = j
+		u.order = append(u.order, j.ref)
+		j.first = u.w.now
+	}
+	j.sent = true
+	body := j.body
+	u.ask(func(id coordination.RequestID) coordination.Input {
+		ref, job, err := protocol.ParseSubmission(body)
+		s := &coordination.Submit{Request: id, ID: ref, Job: job}
+		if err != nil {
+			s.Job, s.Fault = nil, err.Error()
+		}
+		return s
+	}, func(status int, body []byte) {
+		switch status {
+		case 200, 201:
+			again := j.accepted != 0
+			if !again {
+				j.accepted = u.w.now
+			}
+			u.hear(j, body)
+			if !again {
+				u.w.after(u.w.rng.Int64N(5*micros.Second), func() { u.poll(j) })
+			}
+		case 400, 422:
+			j.refused = status
+			if j.accepted != 0 {
+				u.w.breakRule("forgotten", "%s: accepted, then answered %d", j.ref, status)
+			}
+		default:
+			if u.w.now-j.first < 60*micros.Second {
+				u.w.after(micros.Second+u.w.rng.Int64N(micros.Second/2), func() { u.submit(j) })
+			}
+		}
+	})
+}
+
+func (u *users) poll(j *userJob) {
+	if (j.toldDone || j.cancelled != 0) && u.w.rng.IntN(3) > 0 {
+		u.w.after(15*micros.Second, func() { u.poll(j) })
+		return
+	}
+	u.ask(func(id coordination.RequestID) coordination.Input {
+		return &coordination.Lookup{Request: id, ID: j.ref}
+	}, func(status int, body []byte) {
+		switch status {
+		case 200:
+			u.hear(j, body)
+		case 404:
+			if j.accepted != 0 {
+				u.w.breakRule("forgotten", "%s: accepted, then answered 404", j.ref)
+			}
+		}
+		u.w.after(4500*micros.Millisecond+u.w.rng.Int64N(micros.Second), func() { u.poll(j) })
+	})
+}
+
+func (u *users) cancel(j *userJob) {
+	j.wantCancel = true
+	u.ask(func(id coordination.RequestID) coordination.Input {
+		return &coordination.Cancel{Request: id, ID: j.ref}
+	}, func(status int, body []byte) {
+		if status == 200 {
+			u.hear(j, body)
+			return
+		}
+		u.w.after(micros.Second+u.w.rng.Int64N(micros.Second/2), func() { u.cancel(j) })
+	})
+}
+
+// stranger polls for a job that nobody submitted.
+func (u *users) stranger(ref string) {
+	u.ask(func(id coordination.RequestID) coordination.Input {
+		return &coordination.Lookup{Request: id, ID: ref}
+	}, func(status int, _ []byte) {
+		u.strange++
+		if status == 200 && u.jobs[ref] == nil {
+			u.w.breakRule("invented", "%s: 200 for a job nobody submitted", ref)
+		}
+	})
+}
+
+// hear holds what a user is told against what it was told before and the truth.
+func (u *users) hear(j *userJob, body []byte) {
+	var s protocol.JobState
+	if json.Unmarshal(body, &s) != nil || s.Ref != j.ref {
+		u.w.breakRule("bench", "%s: bad answer %s", j.ref, body)
+		return
+	}
+	if j.toldDone && s.Phase != "done" {
+		u.w.breakRule("went_back", "%s: done, then %s", j.ref, s.Phase)
+	}
+	if j.cancelled != 0 && s.Phase != "cancelled" {
+		u.w.breakRule("went_back", "%s: cancelled, then %s", j.ref, s.Phase)
+	}
+	j.lastPhase = s.Phase
+	switch s.Phase {
+	case "done":
+		j.toldDone = true
+		if len(j.done) < j.shards {
+			u.w.breakRule("not_done", "%s: told done with %d of %d tasks", j.ref, len(j.done), j.shards)
+		}
+	case "cancelled":
+		if j.cancelled == 0 {
+			j.cancelled = u.w.now
+		}
+		if !j.wantCancel {
+			u.w.breakRule("went_back", "%s: cancelled, but not by its user", j.ref)
+		}
+	}
+}
+
+// started checks the rules for a start.
+func (u *users) started(m *machine, t *workerTask, n int) {
+	u.started_++
+	j := t.job
+	j.starts++
+	if j.firstStart == 0 {
+		j.firstStart = u.w.now
+	}
+	cancelS := micros.FromSeconds(u.w.conf.Settings.Workers.CancelS)
+	if j.cancelled != 0 && u.w.now-j.cancelled > cancelS {
+		u.w.breakRule("ran_cancelled", "%s starts on %s", t.id, m.name)
+	}
+	if (m.spot && !j.loaners) || (j.berth != "" && j.berth != m.zone) || (j.hulls != nil && !contains(j.hulls, m.kind.name)) {
+		u.w.breakRule("wrong_place", "%s starts on %s: %s in %s, spot %v", t.id, m.name, m.kind.name, m.zone, m.spot)
+	}
+	inZone := 0
+	for _, o := range u.w.cloud.sorted() {
+		if o.gone {
+			continue
+		}
+		for _, id := range o.ids() {
+			x := o.tasks[id]
+			if x == t || x.job != j || !x.on() {
+				continue
+			}
+			if x.id == t.id {
+				u.w.breakRule("ran_twice", "%s starts on %s while on %s", t.id, m.name, o.name)
+			}
+			if o.zone == m.zone {
+				inZone++
+			} else if j.oneZone {
+				u.w.breakRule("wrong_place", "%s starts in %s, others are in %s", t.id, m.zone, o.zone)
+			}
+		}
+	}
+	if j.apart && inZone+1 > (j.shards+1)/2 {
+		u.w.breakRule("wrong_place", "%s: %d of %d tasks in %s", t.id, inZone+1, j.shards, m.zone)
+	}
+	use := 0.0
+	for _, o := range u.w.cloud.sorted() {
+		if o.gone {
+			continue
+		}
+		for _, x := range o.tasks {
+			if x.on() && x.job.owner == j.owner {
+				use += x.job.cores
+			}
+		}
+	}
+	for _, team := range u.w.conf.Settings.Teams {
+		if team.Name == j.owner && team.CPUsMax > 0 && use > team.CPUsMax+1e-6 {
+			u.w.breakRule("quota", "%s uses %v of %v cores", j.owner, use, team.CPUsMax)
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// watch checks, ten times a second, that cancelled tasks are gone in time, and
+// counts replicas.
+func (u *users) watch() {
+	const every = 100 * micros.Millisecond
+	cancelS := micros.FromSeconds(u.w.conf.Settings.Workers.CancelS)
+	if u.w.cloud != nil {
+		for _, m := range u.w.cloud.sorted() {
+			if m.gone {
+				continue
+			}
+			for _, id := range m.ids() {
+				t := m.tasks[id]
+				if !t.on() {
+					continue
+				}
+				if t.job.cancelled != 0 && u.w.now-t.job.cancelled > cancelS {
+					u.w.breakRule("ran_cancelled", "%s is on %s", t.id, m.name)
+				}
+				t.job.replicaTime += every
+			}
+		}
+	}
+	u.w.after(every, u.watch)
+}
+
+// parse reads a job from fields such as tasks=8 cores=4.
+func (u *users) parse(ref string, fields map[string]string) *userJob {
+	num := func(k string, d float64) float64 {
+		if v, err := strconv.ParseFloat(fields[k], 64); err == nil {
+			return v
+		}
+		return d
+	}
+	str := func(k, d string) string {
+		if v := fields[k]; v != "" {
+			return v
+		}
+		return d
+	}
+	j := &userJob{ref: ref, shape: str("shape", "array"), owner: str("team", u.w.conf.Settings.Teams[0].Name), shards: int(num("tasks", 1)),
+		cores: num("cores", 4), ram: num("ram", 4), bundle: str("image", "img-1"), sizeGB: num("size", 1), berth: fields["zone"],
+		oneZone: fields["one_zone"] != "", apart: fields["apart"] != "", loaners: fields["spot"] != "",
+		runs: micros.FromSeconds(num("runs", 20)), snapshotEvery: num("snapshot", 0), snapshotS: num("save", 0),
+		mistaken: fields["mistaken"] != "", done: map[int]bool{}}
+	if v := fields["types"]; v != "" {
+		j.hulls = strings.Split(v, ",")
+	}
+	b := map[string]any{"ref": ref, "jobclass": str("class", "class-1"), "owner": j.owner, "shape": j.shape, "rank": str("rank", "standard"),
+		"shards": j.shards, "cores": j.cores, "gpus": 0, "ram_gb": j.ram, "bundle": j.bundle, "size_gb": j.sizeGB, "hulls": j.hulls,
+		"berth": nil, "one_zone": j.oneZone, "apart": j.apart, "loaners": j.loaners, "expect_s": num("expect", micros.Seconds(j.runs)),
+		"snapshot_every_s": j.snapshotEvery, "snapshot_s": j.snapshotS, "due_s": nil, "surprise": true}
+	if j.berth != "" {
+		b["berth"] = j.berth
+	}
+	if d := num("due", 0); d > 0 {
+		b["due_s"] = d
+	}
+	if j.shape == "service" {
+		b["expect_s"] = 0
+	}
+	if j.hulls == nil {
+		b["hulls"] = nil
+	}
+	j.body = encode(b)
+	return j
+}
+
+// open lists jobs that were accepted and are neither done nor cancelled.
+func (u *users) open() []string {
+	var out []string
+	for _, ref := range u.order {
+		j := u.jobs[ref]
+		if j.accepted != 0 && !j.toldDone && j.cancelled == 0 && j.shape == "array" && !j.mistaken {
+			out = append(out, ref)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/internal/scenario/worker.go
@@ -0,0 +1,428 @@
+package scenario
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/protocol"
+)
+
+type workerTask struct {
+	id      string
+	try     uint64
+	phase   string
+	cause   string
+	stored  bool
+	job     *userJob
+	life    int
+	changed micros.Time
+}
+
+// machine is a rented machine with its worker agent.
+type machine struct {
+	w       *World
+	name    string
+	address string
+	kind    *machineType
+	zone    string
+	spot    bool
+	rented  micros.Time
+	speed   float64
+
+	booted  bool
+	gone    bool
+	goneAt  micros.Time
+	deleted bool
+	hung    bool
+	thaw    []func()
+	sick    bool
+	recall  micros.Time // when it is taken; 0: no notice
+
+	tenure   uint64
+	tick     uint64
+	warrant  uint64
+	answered micros.Time // when the last answered report was sent
+	steward  string      // node it reports to
+	inFlight bool
+	report   int // counts report timers
+	lastSent micros.Time
+	warned   micros.Time // last time a higher token counted as a change
+	tasks    map[string]*workerTask
+	images   map[string]bool
+}
+
+func (m *machine) boot() {
+	if m.gone || m.booted {
+		return
+	}
+	m.booted = true
+	m.tenure = 1
+	m.answered = m.w.now
+	m.steward = m.w.nodes[m.w.rng.IntN(len(m.w.nodes))].name
+	m.watchLease()
+	m.sendReport()
+}
+
+func (m *machine) vanish() {
+	m.gone = true
+	m.goneAt = m.w.now
+	m.tasks = map[string]*workerTask{}
+}
+
+// do runs something on the machine: later, if it hangs.
+func (m *machine) do(run func()) {
+	if m.gone {
+		return
+	}
+	if m.hung {
+		m.thaw = append(m.thaw, run)
+		return
+	}
+	m.expire()
+	run()
+}
+
+func (m *machine) hang(length micros.Time) {
+	m.hung = true
+	m.w.after(length, func() {
+		m.hung = false
+		late := m.thaw
+		m.thaw = nil
+		for _, run := range late {
+			m.do(run)
+		}
+	})
+}
+
+// expire ends the session if its lease has run out.
+func (m *machine) expire() {
+	if m.w.now-m.answered <= micros.FromSeconds(m.w.conf.Settings.Workers.LeaseS) {
+		return
+	}
+	m.tasks = map[string]*workerTask{}
+	m.tenure++
+	m.tick = 0
+	m.answered = m.w.now
+}
+
+func (m *machine) watchLease() {
+	m.w.after(100*micros.Millisecond, func() {
+		if m.gone {
+			return
+		}
+		if !m.hung {
+			m.expire()
+		}
+		m.watchLease()
+	})
+}
+
+func (m *machine) ids() []string {
+	out := make([]string, 0, len(m.tasks))
+	for id := range m.tasks {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (m *machine) runs(job string) bool {
+	for _, t := range m.tasks {
+		if strings.HasPrefix(t.id, job+"/") && t.on() {
+			return true
+		}
+	}
+	return false
+}
+
+// on tells whether the task counts as being on its machine.
+func (t *workerTask) on() bool { return t.phase == "running" || t.phase == "saving" }
+
+func (m *machine) body() []byte {
+	m.tick++
+	shards := []map[string]any{}
+	for _, id := range m.ids() {
+		t := m.tasks[id]
+		s := map[string]any{"shard": t.id, "try": t.try, "phase": t.phase}
+		if t.phase == "exited" {
+			s["cause"] = t.cause
+			s["stored"] = t.stored
+		}
+		shards = append(shards, s)
+	}
+	r := map[string]any{"host": m.name, "endpoint": m.address, "hull": m.kind.name, "berth": m.zone, "loaners": m.spot,
+		"tenure": m.tenure, "tick": m.tick, "warrant": m.warrant, "recall_s": nil, "shards": shards, "later_field": 1}
+	if m.recall > 0 {
+		r["recall_s"] = micros.Seconds(m.recall - m.w.now)
+	}
+	return encode(r)
+}
+
+func (m *machine) scheduleReport(in micros.Time) {
+	m.report++
+	n := m.report
+	m.w.after(in, func() {
+		if n == m.report {
+			m.do(m.sendReport)
+		}
+	})
+}
+
+// changed lets a report go out soon.
+func (m *machine) changed() {
+	if !m.inFlight {
+		m.scheduleReport(max(0, m.lastSent+500*micros.Millisecond-m.w.now))
+	}
+}
+
+func (m *machine) regular() micros.Time {
+	return micros.FromSeconds(m.w.conf.Settings.Workers.ReportS * (0.75 + 0.5*m.w.rng.Float64()))
+}
+
+func (m *machine) sendReport() {
+	if m.inFlight {
+		return
+	}
+	w := m.w
+	m.inFlight = true
+	m.lastSent = w.now
+	sent, tenure, over := w.now, m.tenure, false
+	n := w.node(m.steward)
+	end := func(status int, body []byte) {
+		if over {
+			return
+		}
+		over = true
+		m.do(func() { m.answerIn(sent, tenure, status, body) })
+	}
+	raw := m.body()
+	w.after(4*micros.Second, func() { end(0, nil) })
+	w.send(m.name, n.name, func() {
+		if !n.up() {
+			w.send(n.name, m.name, func() { end(0, nil) })
+			return
+		}
+		rep, err := protocol.ParseReport(raw)
+		if err != nil {
+			w.breakRule("bench", "a report cannot be read: %v", err)
+			return
+		}
+		n.ask(func(id coordination.RequestID) coordination.Input {
+			return &coordination.ReportIn{Request: id, Report: rep}
+		}, func(a coordination.Answer) {
+			status, body := 503, []byte(nil)
+			switch a.Kind {
+			case coordination.Orders:
+				status, body = 200, protocol.EncodeOrders(a.Token, a.Commands)
+			case coordination.Elsewhere:
+				status, body = 421, protocol.EncodeElsewhere(a.Steward)
+			}
+			w.send(n.name, m.name, func() { end(status, body) })
+		})
+	})
+}
+
+func (m *machine) answerIn(sent micros.Time, tenure uint64, status int, body []byte) {
+	m.inFlight = false
+	nextNode := func() {
+		for i, n := range m.w.nodes {
+			if n.name == m.steward {
+				m.steward = m.w.nodes[(i+1)%len(m.w.nodes)].name
+				break
+			}
+		}
+		m.scheduleReport(micros.Second)
+	}
+	switch status {
+	case 200:
+		var r struct {
+			Warrant uint64 `json:"warrant"`
+			Orders  []workerOrder
+		}
+		if json.Unmarshal(body, &r) != nil {
+			nextNode()
+			return
+		}
+		m.scheduleReport(m.regular())
+		if r.Warrant < m.warrant || tenure != m.tenure {
+			return // dropped; stays with this node
+		}
+		m.answered = max(m.answered, sent)
+		m.see(r.Warrant)
+		m.execute(r.Orders)
+	case 421:
+		var r struct {
+			Steward string `json:"steward"`
+		}
+		_ = json.Unmarshal(body, &r)
+		if r.Steward == "" || r.Steward == m.steward || m.w.node(r.Steward) == nil {
+			nextNode()
+			return
+		}
+		m.steward = r.Steward
+		m.scheduleReport(m.w.rng.Int64N(500 * micros.Millisecond))
+	default:
+		nextNode()
+	}
+}
+
+func (m *machine) see(warrant uint64) {
+	if warrant > m.warrant {
+		m.warrant = warrant
+		if half := micros.FromSeconds(m.w.conf.Settings.Workers.LeaseS / 2); m.warned == 0 || m.w.now-m.warned > half {
+			m.warned = m.w.now
+			m.changed()
+		}
+	}
+}
+
+type workerOrder struct {
+	Verb      string  `json:"verb"`
+	Shard     string  `json:"shard"`
+	Try       uint64  `json:"try"`
+	WindDownS float64 `json:"wind_down_s"`
+}
+
+func (m *machine) show(reply func(int, []byte)) {
+	m.do(func() { reply(200, m.body()) })
+}
+
+func (m *machine) commands(body []byte, reply func(int, []byte)) {
+	m.do(func() {
+		var r struct {
+			Warrant *uint64       `json:"warrant"`
+			Tenure  *uint64       `json:"tenure"`
+			Orders  []workerOrder `json:"orders"`
+		}
+		if json.Unmarshal(body, &r) != nil || r.Warrant == nil || r.Tenure == nil {
+			reply(400, nil)
+			return
+		}
+		if *r.Warrant < m.warrant || *r.Tenure != m.tenure {
+			reply(409, m.body())
+			return
+		}
+		m.see(*r.Warrant)
+		m.execute(r.Orders)
+		reply(200, m.body())
+	})
+}
+
+func (m *machine) execute(orders []workerOrder) {
+	for _, o := range orders {
+		key := o.Shard + "#" + strconv.FormatUint(o.Try, 10)
+		t := m.tasks[key]
+		switch o.Verb {
+		case "run":
+			if t == nil {
+				m.runTask(key, o)
+			}
+		case "kill":
+			if t == nil || t.phase == "exited" {
+				continue
+			}
+			if t.phase == "running" && t.job.snapshotEvery > 0 && o.WindDownS >= t.job.snapshotS && o.WindDownS > 0 {
+				t.phase = "saving"
+				life := t.life
+				m.w.after(micros.FromSeconds(t.job.snapshotS), func() {
+					m.do(func() {
+						if m.tasks[key] == t && t.life == life && t.phase == "saving" {
+							t.stored = true
+							m.exit(t, "stopped")
+						}
+					})
+				})
+				continue
+			}
+			m.exit(t, "stopped")
+		case "forget":
+			if t != nil && t.phase == "exited" {
+				delete(m.tasks, key)
+			}
+		}
+	}
+}
+
+func (m *machine) exit(t *workerTask, cause string) {
+	t.phase, t.cause = "exited", cause
+	t.life++
+	m.changed()
+}
+
+func (m *machine) runTask(key string, o workerOrder) {
+	i := strings.LastIndexByte(o.Shard, '/')
+	n, _ := strconv.Atoi(o.Shard[i+1:])
+	j := m.w.users.jobs[o.Shard[:i]]
+	t := &workerTask{id: o.Shard, try: o.Try, phase: "exited", cause: "unknown", job: j}
+	m.tasks[key] = t
+	defer m.changed()
+	if j == nil || n < 0 || n >= j.shards || !j.sent {
+		return
+	}
+	cores, ram := m.kind.cores-j.cores, m.kind.ram-j.ram
+	for _, other := range m.tasks {
+		if other == t || other.phase == "exited" {
+			continue
+		}
+		if other.id == t.id {
+			t.cause = "busy"
+			return
+		}
+		cores -= other.job.cores
+		ram -= other.job.ram
+	}
+	if cores < 0 || ram < 0 {
+		t.cause = "no_room"
+		return
+	}
+	t.phase, t.cause = "fetching", ""
+	fetch := micros.Time(0)
+	if !m.images[j.bundle] {
+		fetch = micros.FromSeconds(j.sizeGB / m.kind.fetch)
+	}
+	life := t.life
+	m.w.after(fetch, func() {
+		m.do(func() {
+			if m.tasks[key] != t || t.life != life || t.phase != "fetching" {
+				return
+			}
+			m.images[j.bundle] = true
+			t.phase = "running"
+			m.w.users.started(m, t, n)
+			m.changed()
+			m.runOut(key, t, n)
+		})
+	})
+}
+
+func (m *machine) runOut(key string, t *workerTask, n int) {
+	j := t.job
+	life := t.life
+	length := micros.Time(float64(j.runs) * m.speed)
+	switch {
+	case j.done[n]:
+		length = 0
+	case m.sick || j.mistaken:
+		length = micros.Second
+	case j.shape == "service":
+		return
+	}
+	failing := m.sick || j.mistaken
+	m.w.after(length, func() {
+		m.do(func() {
+			if m.tasks[key] != t || t.life != life || t.phase != "running" {
+				return
+			}
+			if failing && !j.done[n] {
+				m.exit(t, "error")
+				return
+			}
+			j.done[n] = true
+			m.exit(t, "done")
+		})
+	})
+}
--- /dev/null
+++ b/internal/scenario/world.go
@@ -0,0 +1,298 @@
+// Package scenario plays scenarios, written as small text files, against the
+// core in simulated time: with stand-ins of the state service, the cloud, the
+// workers and the users, written from the protocol, and with faults. Every rule
+// of the protocol is checked after every step. Messages cross the wire format,
+// so that encoding and decoding are played too.
+package scenario
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/protocol"
+)
+
+type event struct {
+	at  micros.Time
+	seq int
+	run func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// cut is an interruption between two hosts, or between one host and all others.
+type cut struct {
+	a, b string // b "": everybody
+	hold bool   // packets are delivered afterwards, instead of never
+	held []func()
+}
+
+// World is the simulated deployment.
+type World struct {
+	now    micros.Time
+	queue  events
+	seq    int
+	rng    *rand.Rand
+	conf   *config.Config
+	nodes  []*node
+	state  *stateService
+	cloud  *cloud
+	users  *users
+	cuts   []*cut
+	broken []string
+	logf   func(string, ...any)
+}
+
+func (w *World) after(d micros.Time, run func()) {
+	w.seq++
+	heap.Push(&w.queue, &event{w.now + d, w.seq, run})
+}
+
+// run plays until a time.
+func (w *World) run(until micros.Time) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(*event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = until
+}
+
+func (w *World) breakRule(rule, format string, args ...any) {
+	text := fmt.Sprintf("%.3f %s: %s", micros.Seconds(w.now), rule, fmt.Sprintf(format, args...))
+	if len(w.broken) < 20 {
+		w.broken = append(w.broken, text)
+	}
+}
+
+func (w *World) cutBetween(a, b string) *cut {
+	for _, c := range w.cuts {
+		if (c.a == a && (c.b == "" || c.b == b)) || (c.a == b && (c.b == "" || c.b == a)) {
+			return c
+		}
+	}
+	return nil
+}
+
+// send delivers a packet after the network's delay, or holds or drops it.
+func (w *World) send(from, to string, run func()) {
+	if c := w.cutBetween(from, to); c != nil {
+		if c.hold {
+			c.held = append(c.held, run)
+		}
+		return
+	}
+	w.after(200+w.rng.Int64N(300), run)
+}
+
+func (w *World) startCut(a, b string, hold bool, length micros.Time) {
+	c := &cut{a: a, b: b, hold: hold}
+	w.cuts = append(w.cuts, c)
+	w.after(length, func() {
+		for i := range w.cuts {
+			if w.cuts[i] == c {
+				w.cuts = append(w.cuts[:i], w.cuts[i+1:]...)
+				break
+			}
+		}
+		for _, run := range c.held {
+			w.after(w.rng.Int64N(5*micros.Millisecond), run)
+		}
+	})
+}
+
+// node is one controller.
+type node struct {
+	w       *World
+	name    string
+	conf    *config.Config
+	core    *coordination.Core
+	life    int // counts processes
+	paused  bool
+	inbox   []coordination.Input // while paused
+	wakeSeq int
+	drift   float64
+	skew    micros.Time
+	nextReq coordination.RequestID
+	waiting map[coordination.RequestID]func(coordination.Answer)
+}
+
+func (n *node) up() bool { return n.core != nil }
+
+func (n *node) start() {
+	if n.core != nil {
+		return
+	}
+	n.life++
+	n.core = coordination.New(n.conf, fmt.Sprintf("%s.%d", n.name, n.life))
+	n.waiting = map[coordination.RequestID]func(coordination.Answer){}
+	n.paused, n.inbox = false, nil
+	n.step()
+}
+
+func (n *node) crash() {
+	n.life++
+	n.core = nil
+}
+
+// step hands inputs to the core and carries out what it asks for.
+func (n *node) step(in ...coordination.Input) {
+	if n.core == nil {
+		return
+	}
+	if n.paused {
+		n.inbox = append(n.inbox, in...)
+		return
+	}
+	w := n.w
+	steady := micros.Time(float64(w.now)*n.drift) + 1
+	out := n.core.Step(steady, 1_800_000_000*micros.Second+w.now+n.skew, in...)
+	life := n.life
+	for _, l := range out.Log {
+		w.logf("%10.3f %s %s %v", micros.Seconds(w.now), n.name, l.Text, l.Args)
+	}
+	for _, a := range out.Answers {
+		if then := n.waiting[a.Request]; then != nil {
+			delete(n.waiting, a.Request)
+			then(a)
+		}
+	}
+	for i := range out.State {
+		c := out.State[i]
+		req := protocol.EncodeState(c.Request)
+		n.call("state", c.Timeout, func(reply func(int, []byte)) {
+			w.state.handle(n.name, req, reply)
+		}, func(status int, body []byte) {
+			r, _ := protocol.DecodeState(c.Request.Kind, status, body)
+			n.step(&coordination.StateDone{Call: c.Call, Reply: r})
+		})
+	}
+	for i := range out.Cloud {
+		c := out.Cloud[i]
+		req := protocol.EncodeCloud(&c)
+		n.call("cloud", c.Timeout, func(reply func(int, []byte)) {
+			w.cloud.handle(req, reply)
+		}, func(status int, body []byte) {
+			r, _ := protocol.DecodeCloud(c.Kind, status, body)
+			n.step(&coordination.CloudDone{Call: c.Call, Reply: r})
+		})
+	}
+	for i := range out.Workers {
+		c := out.Workers[i]
+		body := protocol.EncodeCommands(&c)
+		m := w.cloud.byAddress[c.Address]
+		target := "nowhere"
+		if m != nil {
+			target = m.name
+		}
+		n.call(target, c.Timeout, func(reply func(int, []byte)) {
+			if m == nil || m.gone {
+				return
+			}
+			if c.Show {
+				m.show(reply)
+			} else {
+				m.commands(body, reply)
+			}
+		}, func(status int, body []byte) {
+			n.step(&coordination.WorkerDone{Call: c.Call, Reply: protocol.DecodeWorker(status, body)})
+		})
+	}
+	for _, p := range out.Peers {
+		raw := protocol.EncodeStatus(p.Status)
+		for _, o := range w.nodes {
+			if o.name == p.To {
+				w.send(n.name, o.name, func() {
+					if s, err := protocol.DecodeStatus(raw); err == nil {
+						o.step(s)
+					}
+				})
+			}
+		}
+	}
+	n.wakeSeq++
+	seq := n.wakeSeq
+	w.after(max(micros.Millisecond, out.Wake-steady), func() {
+		if n.life == life && n.wakeSeq == seq {
+			n.step()
+		}
+	})
+}
+
+// call sends a request and hands in the answer, or status 0 after the timeout.
+func (n *node) call(to string, timeout micros.Time, handle func(reply func(int, []byte)), done func(int, []byte)) {
+	w, life, over := n.w, n.life, false
+	finish := func(status int, body []byte) {
+		if n.life == life && !over {
+			over = true
+			done(status, body)
+		}
+	}
+	w.after(timeout, func() { finish(0, nil) })
+	w.send(n.name, to, func() {
+		handle(func(status int, body []byte) {
+			w.send(to, n.name, func() { finish(status, body) })
+		})
+	})
+}
+
+// ask hands a request in and calls then with the answer.
+func (n *node) ask(make func(coordination.RequestID) coordination.Input, then func(coordination.Answer)) {
+	if n.core == nil {
+		return
+	}
+	n.nextReq++
+	n.waiting[n.nextReq] = then
+	n.step(make(n.nextReq))
+}
+
+func (w *World) node(name string) *node {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// holder is the node that some machines obey now, for scenarios that aim at it.
+func (w *World) holder() *node {
+	best, most := w.nodes[0], -1
+	for _, n := range w.nodes {
+		if n.core == nil {
+			continue
+		}
+		count := 0
+		for _, m := range w.cloud.sorted() {
+			if !m.gone && m.steward == n.name {
+				count++
+			}
+		}
+		if count > most {
+			best, most = n, count
+		}
+	}
+	return best
+}
+
+func (w *World) fail(format string, args ...any) error {
+	return fmt.Errorf(strings.TrimSpace(format), args...)
+}
