Keep the catalog in the state service; stay in the balancer in common outages

Now the leader keeps the machine types in the state service, /up says no only while a sibling can serve, and submissions may overdraw the write budget. Ruled out: slow elections (leader 0.3 s after the restart).

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -140,3 +140,19 @@
 	}
 	return false
 }
+
+// SameTypes tells whether two catalogs have the same machine types; prices, which
+// move, may differ.
+func (c Catalog) SameTypes(o Catalog) bool {
+	if len(c) != len(o) {
+		return false
+	}
+	for name, a := range c {
+		b := o[name]
+		if b == nil || a.Capacity != b.Capacity || a.Boot != b.Boot || a.CacheGB != b.CacheGB || a.FetchGBps != b.FetchGBps ||
+			!slices.Equal(a.Zones, b.Zones) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -24,6 +24,7 @@
 	keys  storage.Keys
 
 	now, wall micros.Time
+	born      micros.Time
 	out       *Output
 
 	nextCall uint64
@@ -32,6 +33,10 @@
 	catalog   bookkeeping.Catalog
 	catalogAt micros.Time
 	catalogOn bool // a call is out
+	// The state service keeps the machine types too, see keepCatalog.
+	catalogOwn   bool // the cloud told us
+	catalogSave  bool // a write is out
+	catalogSaved micros.Time
 
 	budget *storage.Budget
 	session
@@ -73,6 +78,9 @@
 // time of day.
 func (c *Core) Step(steady, wall micros.Time, inputs ...Input) *Output {
 	c.now, c.wall = max(c.now, steady), wall
+	if c.born == 0 {
+		c.born = c.now
+	}
 	c.out = &Output{}
 	for _, in := range inputs {
 		c.input(in)
@@ -152,6 +160,7 @@
 	c.tickSession()
 	c.tickBarrier()
 	c.tickCatalog()
+	c.keepCatalog()
 	c.tickLeader()
 	for _, n := range sortedKeys(c.holders) {
 		c.holders[n].tick()
@@ -174,6 +183,7 @@
 		c.catalogOn = false
 		if r.Outcome == CloudOK && len(r.Catalog) > 0 {
 			c.catalog = r.Catalog
+			c.catalogOwn = true
 			for _, h := range c.holders {
 				h.dirty = true
 			}
@@ -181,16 +191,36 @@
 	})
 }
 
-// Healthy tells whether the controller can take users' requests. A controller
-// that alone is refused by the state service says no; in an outage for all of
-// them, everybody stays: being taken out would outlast the outage.
-func (c *Core) Healthy() bool {
-	if !c.synced || c.catalog == nil {
-		return false
+// keepCatalog takes the machine types from the state when the cloud has not told
+// them yet: a controller that starts while the cloud is down must be able to
+// judge submissions and to plan. The leader writes them down.
+func (c *Core) keepCatalog() {
+	stored := c.replica.Catalog.Value
+	if c.catalog == nil && len(stored) > 0 {
+		c.catalog = stored
+	}
+	if !c.leading() || !c.catalogOwn || c.catalogSave || c.now-c.catalogSaved < 10*micros.Second || c.catalog.SameTypes(stored) {
+		return
 	}
-	if c.term.Age(c.now) < 4*micros.Second {
+	key := c.keys.Catalog()
+	c.catalogSaved = c.now
+	c.catalogSave = c.callState(&storage.Request{Kind: storage.Commit,
+		Conditions: []storage.Condition{c.asLeader(), {Key: key, Version: c.replica.Catalog.Version}},
+		Puts:       []storage.Put{{Key: key, Value: storage.Encode(c.catalog)}},
+	}, false, stateTimeout, func(*storage.Reply) { c.catalogSave = false })
+}
+
+// Healthy tells whether the controller should be sent users' requests: it is
+// not while a sibling can serve them and this one cannot. In an outage for all,
+// everybody stays and tells users when to come back: being taken out of the load
+// balancer outlasts the outage.
+func (c *Core) Healthy() bool {
+	if c.synced && c.catalog != nil && c.term.Age(c.now) < 4*micros.Second {
 		return true
 	}
+	if c.now < c.born+micros.Second {
+		return false // it may only be starting
+	}
 	for _, p := range c.peers {
 		if c.now-p.at < 2*micros.Second && p.status.StateOK {
 			return false
@@ -199,7 +229,9 @@
 	return true
 }
 
-func (c *Core) stateOK() bool { return c.synced && c.term.Age(c.now) < 3*micros.Second }
+func (c *Core) stateOK() bool {
+	return c.synced && c.catalog != nil && c.term.Age(c.now) < 3*micros.Second
+}
 
 // tickStatus tells the siblings how things stand.
 func (c *Core) tickStatus() {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -91,7 +91,7 @@
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(in.Job)}},
-	}, false, stateTimeout, func(r *storage.Reply) {
+	}, true, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
 		case storage.OK:
 			c.answer(Answer{Request: req, Kind: Accepted, Job: JobView{ID: id}})
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -66,6 +66,7 @@
 // The keys.
 func (k Keys) Leader() string             { return k.Prefix + "leader" }
 func (k Keys) Barrier() string            { return k.Prefix + "barrier" } // never exists
+func (k Keys) Catalog() string            { return k.Prefix + "catalog" }
 func (k Keys) Node(m string) string       { return k.Prefix + "node/" + m }
 func (k Keys) Queue(n int) string         { return k.Prefix + "queue/" + strconv.Itoa(n) }
 func (k Keys) Block(m string) string      { return k.Prefix + "block/" + m }
@@ -78,7 +79,7 @@
 
 // Change tells what an event touched: the part of the key below the prefix.
 type Change struct {
-	Kind string // leader, node, queue, block, charter, job, fin
+	Kind string // leader, catalog, node, queue, block, charter, job, fin
 	ID   string
 }
 
@@ -88,6 +89,7 @@
 	Keys     Keys
 	Revision uint64
 	Leader   Versioned[Process]
+	Catalog  Versioned[bookkeeping.Catalog]
 	Nodes    map[string]Versioned[Process]
 	Queues   map[int]Versioned[QueueRecord]
 	Blocks   map[string]Versioned[BlockRecord]
@@ -150,6 +152,13 @@
 		if v, err = decode[Process](it); err == nil {
 			r.Leader, changed = v, true
 		}
+	case "catalog":
+		if r.Catalog.Version < it.Version && !it.Deleted {
+			var v Versioned[bookkeeping.Catalog]
+			if v, err = decode[bookkeeping.Catalog](it); err == nil {
+				r.Catalog, changed = v, true
+			}
+		}
 	case "node":
 		changed, err = applyTo(r.Nodes, id, it)
 	case "queue":
