Small machines for services; give up surplus machines by moving replicas

Services now prefer types whose loss costs little spare room; a machine whose replicas fit elsewhere takes no more tasks and its replicas move one by one; idle ordinary machines are returned sooner. Ruled out: spot machines (a third of the price, mostly used).

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -17,7 +17,11 @@
 	Types   []string
 	Zone    string
 	Service bool
-	Hold    micros.Time // how long the room is expected to be used
+	// Replicas is how many replicas there are in all: room for those of one lost
+	// machine has to be kept, so large machines cost more than their price.
+	Replicas int
+	Urgent   bool        // tasks wait for it now: boot time counts
+	Hold     micros.Time // how long the room is expected to be used
 }
 
 // Offer is one thing that can be rented.
@@ -68,11 +72,16 @@
 	free bookkeeping.Resources
 }
 
-func (n *Need) allows(o Offer) bool {
+// Allows tells whether a machine of the offer could serve the need.
+func (n *Need) Allows(o Offer) bool {
 	return (n.Spot || !o.Spot) && (n.Zone == "" || n.Zone == o.Zone) &&
 		(len(n.Types) == 0 || slices.Contains(n.Types, o.Type))
 }
 
+// urgentBoot is the boot time that doubles a machine's cost in the eyes of
+// services that wait for it.
+const urgentBoot = 15 * micros.Second
+
 // Choose rents for the needs, in their order, what costs least a task over boot
 // and use, at most limit machines in all. Room left on a machine chosen for one
 // need is used for the next.
@@ -87,7 +96,7 @@
 		n := &needs[i]
 		left := int64(n.Count)
 		for _, r := range rooms {
-			if left > 0 && n.allows(r.Offer) {
+			if left > 0 && n.Allows(r.Offer) {
 				k := min(left, n.Each.Count(r.free))
 				r.free = r.free.Sub(n.Each.Times(k))
 				left -= k
@@ -104,7 +113,7 @@
 				for _, zone := range t.Zones {
 					for _, spot := range []bool{true, false} {
 						o := Offer{t.Name, zone, spot}
-						if !n.allows(o) || exhausted(o) || taken[o] {
+						if !n.Allows(o) || exhausted(o) || taken[o] {
 							continue
 						}
 						price := t.Price
@@ -112,6 +121,12 @@
 							price = t.SpotPrice
 						}
 						cost := price * micros.Seconds(t.Boot+n.Hold) / float64(min(slots, left))
+						if n.Service {
+							cost *= 1 + float64(slots)/float64(max(1, n.Replicas))
+							if n.Urgent {
+								cost *= 1 + float64(t.Boot)/float64(urgentBoot)
+							}
+						}
 						if best == nil || cost < bestCost {
 							best, bestCost = &room{o, t.Capacity}, cost
 						}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -29,6 +29,9 @@
 	needs    []fleet.Need
 	lastTick micros.Time
 	calmAt   micros.Time // silence is judged from then on
+	mergedAt micros.Time // last look at surplus machines
+	movedAt  micros.Time // last move of a replica
+	load     int64       // CPU in use, of late
 }
 
 // job is an active job of the queue.
@@ -515,6 +518,10 @@
 			a.running = h.c.now
 			if a.j != nil {
 				a.m.useImage(a.j.Image, a.j.ImageGB)
+				if a.j.Kind == bookkeeping.Service && a.own {
+					h.c.log(levelDebug, "replica runs", "job", a.j.ID, "task", a.id.Task, "machine", a.m.id,
+						"since_submitted_ms", (h.c.wall-a.j.Submitted)/micros.Millisecond, "since_start_ms", (h.c.now-a.made)/micros.Millisecond)
+				}
 			}
 		}
 		a.state = t.State
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -73,6 +73,7 @@
 	}
 	h.needs = mergeNeeds(needs)
 	h.returnIdle()
+	h.consolidate()
 }
 
 // queued is what the index needs of a job's waiting tasks. A job with no
@@ -226,7 +227,9 @@
 		h.makeRoom(j, micros.Max)
 	}
 	if missing := count - placed; missing > 0 {
-		return []fleet.Need{h.need(j, missing)}
+		n := h.need(j, missing)
+		n.Urgent = true
+		return []fleet.Need{n}
 	}
 	return nil
 }
@@ -237,6 +240,7 @@
 		Service: j.Kind == bookkeeping.Service, Hold: micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second}
 	if n.Service {
 		n.Hold *= 4
+		n.Replicas = h.replicas()
 	}
 	return n
 }
@@ -374,6 +378,16 @@
 // them, and some growth, at once: free room, or room that arrays can be stopped
 // for. Exception to the design, which plans for tasks that are there.
 func (h *holder) spare() []fleet.Need {
+	kind, missing := h.spareMissing(nil)
+	if missing <= 0 {
+		return nil
+	}
+	return []fleet.Need{h.need(kind, missing)}
+}
+
+// spareMissing is how much room for replicas, like those of the returned job, is
+// missing: if without is given, after its replicas have moved elsewhere.
+func (h *holder) spareMissing(without *machine) (*job, int) {
 	replicas, most := 0, 0
 	var kind *job
 	perMachine := map[*machine]int{}
@@ -385,20 +399,25 @@
 		for _, a := range j.live {
 			replicas++
 			perMachine[a.m]++
-			most = max(most, perMachine[a.m])
+			if a.m != without {
+				most = max(most, perMachine[a.m])
+			}
 		}
 		if kind == nil || j.Need.CPU > kind.Need.CPU {
 			kind = j
 		}
 	}
 	if kind == nil {
-		return nil
+		return nil, 0
+	}
+	want := max(most, (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100) + 1
+	if without != nil {
+		want += perMachine[without]
 	}
-	want := max(most, (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100, 2)
 	room := 0
 	for _, m := range h.machines {
-		if m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) || (kind.Zone != "" && kind.Zone != m.block.Zone) ||
-			(!h.usable(m) && !h.expected(m)) {
+		if m == without || m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) ||
+			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (without != nil || !h.expected(m))) {
 			continue
 		}
 		free := m.kind.Capacity
@@ -409,17 +428,114 @@
 		}
 		room += int(kind.Need.Count(free))
 	}
-	if room >= want {
-		return nil
+	return kind, want - room
+}
+
+const (
+	// settled is how long a machine is kept before it can be given up: it costs a
+	// minute anyway.
+	settled = 60 * micros.Second
+	// movePace bounds how often a replica is moved: each is away for a moment.
+	movePace = 3 * micros.Second
+)
+
+// consolidate gives up the dearest machine whose services fit elsewhere, spare
+// room included, while the arrays do not need it: it takes no more tasks, its
+// arrays end, its replicas move one by one. Exception to the design, which never
+// gives a machine up while something runs there.
+func (h *holder) consolidate() {
+	now := h.c.now
+	for _, m := range h.machines {
+		if m.draining == "surplus" {
+			h.moveOff(m)
+			return
+		}
+	}
+	if now-h.mergedAt < movePace || now-h.taken < 10*micros.Second {
+		return
+	}
+	h.mergedAt = now
+	var used, capacity int64
+	for _, m := range h.machines {
+		if m.kind == nil || !h.usable(m) {
+			continue
+		}
+		capacity += m.kind.Capacity.CPU
+		for _, a := range m.attempts {
+			if a.state != Exited {
+				used += a.need.CPU
+			}
+		}
+	}
+	h.load = max(used, h.load-(h.load-used)/20)
+	var best *machine
+	for _, m := range h.machines {
+		if m.kind == nil || m.block.Spot || !h.usable(m) || now-m.added < settled || m.idle != 0 ||
+			(h.load > (capacity-m.kind.Capacity.CPU)*8/10) ||
+			slices.ContainsFunc(h.needs, func(n fleet.Need) bool { return n.Allows(fleet.Offer{Type: m.block.Type, Zone: m.block.Zone}) }) {
+			continue
+		}
+		if _, missing := h.spareMissing(m); missing > 0 {
+			continue
+		}
+		if best == nil || m.kind.Price > best.kind.Price {
+			best = m
+		}
+	}
+	if best != nil {
+		h.drain(best, "surplus")
+	}
+}
+
+// moveOff moves the next replica off a machine, to one that has its image.
+func (h *holder) moveOff(m *machine) {
+	if h.c.now-h.movedAt < movePace/2 || m.ack != h.token {
+		return
+	}
+	for _, id := range sortedAttempts(m) {
+		a := m.attempts[id]
+		if a.state != Running || a.stop || a.j == nil || a.j.Kind != bookkeeping.Service {
+			continue
+		}
+		for _, o := range h.machines {
+			if o.kind == nil || !h.usable(o) || o.block.Spot && !a.j.Spot || !o.hasImage(a.j.Image) || !a.j.AllowsType(o.block.Type) ||
+				(a.j.Zone != "" && a.j.Zone != o.block.Zone) || a.j.OneZone || a.j.Spread || !a.need.Fits(h.free(o)) {
+				continue
+			}
+			h.movedAt = h.c.now
+			h.stop(a, a.j.SaveTime)
+			return
+		}
 	}
-	return []fleet.Need{h.need(kind, want-room)}
+}
+
+// free is the room a machine has now.
+func (h *holder) free(m *machine) bookkeeping.Resources {
+	free := m.kind.Capacity
+	for _, a := range m.attempts {
+		if a.state != Exited {
+			free = free.Sub(a.need)
+		}
+	}
+	return free
+}
+
+// replicas is how many service tasks there are, running or not.
+func (h *holder) replicas() int {
+	n := 0
+	for _, j := range h.jobs {
+		if j.Kind == bookkeeping.Service {
+			n += j.Tasks
+		}
+	}
+	return n
 }
 
 func mergeNeeds(needs []fleet.Need) []fleet.Need {
 	var out []fleet.Need
 	for _, n := range needs {
 		i := slices.IndexFunc(out, func(o fleet.Need) bool {
-			return o.Each == n.Each && o.Spot == n.Spot && o.Zone == n.Zone && o.Service == n.Service && slices.Equal(o.Types, n.Types)
+			return o.Each == n.Each && o.Spot == n.Spot && o.Zone == n.Zone && o.Service == n.Service && o.Urgent == n.Urgent && slices.Equal(o.Types, n.Types)
 		})
 		if i >= 0 {
 			out[i].Count += n.Count
@@ -433,12 +549,15 @@
 // returnIdle gives machines back that have had no task for a while and are not
 // part of the spare room for services.
 func (h *holder) returnIdle() {
-	keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
-	if len(h.needs) > 0 {
-		return
-	}
 	for _, m := range h.machines {
-		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.empty(m) {
+		keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
+		if !m.block.Spot {
+			keep /= 3 // ordinary machines cost more; arrays mostly need not wait for them
+		}
+		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.empty(m) ||
+			slices.ContainsFunc(h.needs, func(n fleet.Need) bool {
+				return n.Allows(fleet.Offer{Type: m.block.Type, Zone: m.block.Zone, Spot: m.block.Spot})
+			}) {
 			continue
 		}
 		m.draining = "idle"
--- a/internal/protocol/siblings.go
+++ b/internal/protocol/siblings.go
@@ -51,6 +51,8 @@
 			wire.NeedAddZone(b, zone)
 			wire.NeedAddService(b, n.Service)
 			wire.NeedAddHold(b, n.Hold)
+			wire.NeedAddReplicas(b, int32(n.Replicas))
+			wire.NeedAddUrgent(b, n.Urgent)
 			needs = append(needs, wire.NeedEnd(b))
 		}
 		nv, release, idle := vector(b, needs), strings(b, q.Release), strings(b, q.Idle)
@@ -124,7 +126,7 @@
 			q.Needs(&n, k)
 			out.Needs = append(out.Needs, fleet.Need{Each: bookkeeping.Resources{CPU: n.Cpu(), GPU: n.Gpu(), Mem: n.Mem()},
 				Count: int(n.Count()), Spot: n.Spot(), Types: stringList(n.TypesLength(), n.Types), Zone: string(n.Zone()),
-				Service: n.Service(), Hold: n.Hold()})
+				Service: n.Service(), Hold: n.Hold(), Replicas: int(n.Replicas()), Urgent: n.Urgent()})
 		}
 		s.Queues = append(s.Queues, out)
 	}
--- a/internal/protocol/wire/Need.go
+++ b/internal/protocol/wire/Need.go
@@ -142,8 +142,32 @@
 	return rcv._tab.MutateInt64Slot(20, n)
 }
 
+func (rcv *Need) Replicas() int32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetInt32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Need) MutateReplicas(n int32) bool {
+	return rcv._tab.MutateInt32Slot(22, n)
+}
+
+func (rcv *Need) Urgent() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Need) MutateUrgent(n bool) bool {
+	return rcv._tab.MutateBoolSlot(24, n)
+}
+
 func NeedStart(builder *flatbuffers.Builder) {
-	builder.StartObject(9)
+	builder.StartObject(11)
 }
 func NeedAddCpu(builder *flatbuffers.Builder, cpu int64) {
 	builder.PrependInt64Slot(0, cpu, 0)
@@ -175,6 +199,12 @@
 func NeedAddHold(builder *flatbuffers.Builder, hold int64) {
 	builder.PrependInt64Slot(8, hold, 0)
 }
+func NeedAddReplicas(builder *flatbuffers.Builder, replicas int32) {
+	builder.PrependInt32Slot(9, replicas, 0)
+}
+func NeedAddUrgent(builder *flatbuffers.Builder, urgent bool) {
+	builder.PrependBoolSlot(10, urgent, false)
+}
 func NeedEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
