--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -757,7 +757,7 @@
 		h.emptied(m)
 		m.expired = true
 	}
-	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (quiet > h.silence()*2/3 || (m.ack != h.token && now-h.taken > 200*micros.Millisecond)) {
+	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (quiet > h.silence()*2/3 || m.ack != h.token) {
 		m.probed = now
 		h.probe(m)
 	}
@@ -891,6 +891,9 @@
 			return
 		}
 		h.observe(m, r.Report)
+		if show {
+			m.probed = 0 // its session is known now: it can be told our token
+		}
 	})
 }
 
