Notice lost machines after two report times

Probes start at 2 s, answer within 1 s, and the machine is given up at 3 s; after a takeover at once when a probe fails while three quarters are known.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -697,7 +697,7 @@
 // usable tells whether tasks may be started on the machine.
 func (h *holder) usable(m *machine) bool {
 	return m.known && !m.expired && m.ack == h.token && m.session != 0 && m.block.Used && m.draining == "" &&
-		m.notice == 0 && m.addr != "" && h.c.now-m.seen < h.silence()
+		m.notice == 0 && m.addr != "" && h.c.now-m.seen < h.silence()*3/4
 }
 
 // lastAnswer is when a worker of this machine can last have had an answer that
@@ -763,7 +763,12 @@
 	}
 	if m.draining == "" {
 		switch {
-		case up && quiet > h.silence()+micros.Second/2 && (m.failed > 0 || m.addr == "") && !h.manySilent():
+		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && !h.manySilent():
+			h.drain(m, "silent")
+		case !m.known && m.failed > 0 && m.ack == 0 && h.mostKnown():
+			// Older jobs wait for the last machine that could have their tasks: after
+			// a takeover one that does not answer, while the others do, is not waited
+			// for any longer.
 			h.drain(m, "silent")
 		case !up && m.kind != nil && now-m.added > 3*m.kind.Boot+10*micros.Second:
 			h.drain(m, "never came up")
@@ -804,6 +809,20 @@
 	h.c.log(levelInfo, "machine drains", "machine", m.id, "why", why, "attempts", len(m.attempts))
 }
 
+// mostKnown tells whether most of the machines in use are known.
+func (h *holder) mostKnown() bool {
+	known, used := 0, 0
+	for _, m := range h.machines {
+		if m.block.Used {
+			used++
+			if m.known {
+				known++
+			}
+		}
+	}
+	return known*4 >= used*3
+}
+
 // manySilent tells whether so many machines are silent at once that the fault
 // is more likely near this controller than at each of them.
 func (h *holder) manySilent() bool {
@@ -862,7 +881,7 @@
 	m.calling = true
 	session, token := m.session, h.token
 	h.c.callWorker(WorkerCall{Machine: m.id, Address: m.addr, Token: token, Session: session, Commands: batch, Show: show,
-		Timeout: 1500 * micros.Millisecond}, func(r *WorkerReply) {
+		Timeout: micros.Second}, func(r *WorkerReply) {
 		m.calling = false
 		if h.c.holders[h.queue] != h || h.machine(m.id) != m {
 			return
