Give up large machines kept for few replicas; rent only what a boot can help

Tried and kept: small machines are rented for the replicas of an oversized one; arrays count as needing room only if they would start after a boot; moves without the image, off dear machines only.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -31,7 +31,7 @@
 	calmAt   micros.Time // silence is judged from then on
 	mergedAt micros.Time // last look at surplus machines
 	movedAt  micros.Time // last move of a replica
-	load     int64       // CPU in use, of late
+	load     int64       // CPU that arrays used of late
 }
 
 // job is an active job of the queue.
@@ -86,6 +86,7 @@
 	notice   micros.Time // when the cloud takes it; 0: no notice
 	idle     micros.Time // since when it has had no task; 0: it has
 	draining string      // why it takes no more tasks
+	drainAt  micros.Time // since when
 	pause    micros.Time // no starts before
 
 	attempts map[AttemptID]*attempt
@@ -803,7 +804,7 @@
 }
 
 func (h *holder) drain(m *machine, why string) {
-	m.draining = why
+	m.draining, m.drainAt = why, h.c.now
 	h.c.statusUp = true
 	h.dirty = true
 	h.c.log(levelInfo, "machine drains", "machine", m.id, "why", why, "attempts", len(m.attempts))
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -360,6 +360,9 @@
 				}
 			}
 		}
+		for _, n := range needs {
+			c.log(levelDebug, "need", "queue", q.Queue, "count", n.Count, "cpu", n.Each.CPU, "service", n.Service, "urgent", n.Urgent)
+		}
 		exhausted := func(o fleet.Offer) bool { return l.exhausted.Now(o, c.now) }
 		for _, r := range fleet.Choose(needs, c.catalog, exhausted, 20) {
 			c.charter(q.Queue, r)
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -347,13 +347,20 @@
 		return nil
 	}
 	tardy := 0
+	boot := micros.Max
+	for _, t := range h.c.catalog {
+		if j.AllowsType(t.Name) && j.Need.Fits(t.Capacity) {
+			boot = min(boot, t.Boot)
+		}
+	}
 	placed := plan.Place(h.request(r, count), machines, func(s plan.Slot) {
 		m := h.machines[s.Machine.Key]
 		if s.Machine.Up && s.Start <= now {
 			h.start(j, m, s.Length)
 			return
 		}
-		if s.Start+s.Length > r.q.Due && s.Start > now+5*micros.Second {
+		// A machine rented now helps only tasks that would start after its boot.
+		if s.Start+s.Length > r.q.Due && s.Start > now+boot {
 			tardy++
 		}
 	})
@@ -364,12 +371,6 @@
 	}
 	// What does not fit in time: so many slots that the waves on new machines end
 	// by the deadline, or, if that is over anyway, all at once.
-	boot := micros.Max
-	for _, t := range h.c.catalog {
-		if j.AllowsType(t.Name) && j.Need.Fits(t.Capacity) {
-			boot = min(boot, t.Boot)
-		}
-	}
 	waves := max(1, min(4, (r.q.Due-now-boot)/max(1, r.q.P)))
 	return []fleet.Need{h.need(j, (short+int(waves)-1)/int(waves))}
 }
@@ -378,16 +379,102 @@
 // them, and some growth, at once: free room, or room that arrays can be stopped
 // for. Exception to the design, which plans for tasks that are there.
 func (h *holder) spare() []fleet.Need {
-	kind, missing := h.spareMissing(nil)
-	if missing <= 0 {
+	kind, missing := h.spareMissing(nil, true)
+	if missing > 0 {
+		return []fleet.Need{h.need(kind, missing)}
+	}
+	m := h.oversized(kind)
+	if m == nil {
 		return nil
 	}
-	return []fleet.Need{h.need(kind, missing)}
+	// Room on smaller machines for what keeps a dear one busy: once it is there,
+	// consolidate gives the dear one up.
+	if _, missing = h.spareMissing(m, true); missing <= 0 {
+		return nil
+	}
+	n := h.need(kind, missing)
+	n.Types = nil
+	for _, name := range sortedKeys(h.c.catalog) {
+		if h.c.catalog[name].Capacity.CPU < m.kind.Capacity.CPU && kind.AllowsType(name) {
+			n.Types = append(n.Types, name)
+		}
+	}
+	return []fleet.Need{n}
+}
+
+// oversized finds a machine that is kept for so few replicas that smaller ones
+// would do for much less, and that the arrays do not need.
+func (h *holder) oversized(kind *job) *machine {
+	if kind == nil {
+		return nil
+	}
+	arrays, services, capacity := h.cpuLoad()
+	var worst *machine
+	for _, m := range h.machines {
+		if m.kind == nil || m.block.Spot || !h.usable(m) || h.c.now-m.added < settled {
+			continue
+		}
+		replicas := 0
+		room := m.kind.Capacity.CPU
+		for _, a := range m.attempts {
+			if a.state != Exited && a.j != nil && a.j.Kind == bookkeeping.Service {
+				replicas++
+				room -= a.need.CPU
+			}
+		}
+		if max(arrays, h.load) > (capacity-services-room)*8/10 {
+			continue
+		}
+		for _, t := range h.c.catalog {
+			slots := int(kind.Need.Count(t.Capacity))
+			if replicas == 0 || slots == 0 || t.Capacity.CPU >= m.kind.Capacity.CPU || !kind.AllowsType(t.Name) {
+				continue
+			}
+			instead := float64((replicas+slots)/slots) * t.Price
+			if m.kind.Price-instead >= h.cheapest() && (worst == nil || m.kind.Price > worst.kind.Price) {
+				worst = m
+			}
+		}
+	}
+	return worst
+}
+
+// cheapest is the lowest price of an ordinary machine.
+func (h *holder) cheapest() float64 {
+	lowest := 0.0
+	for _, t := range h.c.catalog {
+		if lowest == 0 || t.Price < lowest {
+			lowest = t.Price
+		}
+	}
+	return lowest
+}
+
+// cpuLoad is the CPU that arrays and services use, and all there is, on usable
+// machines.
+func (h *holder) cpuLoad() (arrays, services, capacity int64) {
+	for _, m := range h.machines {
+		if m.kind == nil || !h.usable(m) {
+			continue
+		}
+		capacity += m.kind.Capacity.CPU
+		for _, a := range m.attempts {
+			switch {
+			case a.state == Exited:
+			case a.j != nil && a.j.Kind == bookkeeping.Service:
+				services += a.need.CPU
+			default:
+				arrays += a.need.CPU
+			}
+		}
+	}
+	return arrays, services, capacity
 }
 
 // spareMissing is how much room for replicas, like those of the returned job, is
-// missing: if without is given, after its replicas have moved elsewhere.
-func (h *holder) spareMissing(without *machine) (*job, int) {
+// missing: if without is given, after its replicas have moved elsewhere. Machines
+// that still boot count if booting is set.
+func (h *holder) spareMissing(without *machine, booting bool) (*job, int) {
 	replicas, most := 0, 0
 	var kind *job
 	perMachine := map[*machine]int{}
@@ -417,7 +504,7 @@
 	room := 0
 	for _, m := range h.machines {
 		if m == without || m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) ||
-			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (without != nil || !h.expected(m))) {
+			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (!booting || !h.expected(m))) {
 			continue
 		}
 		free := m.kind.Capacity
@@ -437,6 +524,11 @@
 	settled = 60 * micros.Second
 	// movePace bounds how often a replica is moved: each is away for a moment.
 	movePace = 3 * micros.Second
+	// maxLeaving is how many machines are given up at a time.
+	maxLeaving = 3
+	// imagePatience is how long a move off a dear machine waits for a machine that
+	// has the image.
+	imagePatience = 15 * micros.Second
 )
 
 // consolidate gives up the dearest machine whose services fit elsewhere, spare
@@ -445,37 +537,32 @@
 // gives a machine up while something runs there.
 func (h *holder) consolidate() {
 	now := h.c.now
+	leaving := 0
 	for _, m := range h.machines {
 		if m.draining == "surplus" {
 			h.moveOff(m)
-			return
+			leaving++
 		}
 	}
+	if leaving >= maxLeaving {
+		return
+	}
 	if now-h.mergedAt < movePace || now-h.taken < 10*micros.Second {
 		return
 	}
 	h.mergedAt = now
-	var used, capacity int64
-	for _, m := range h.machines {
-		if m.kind == nil || !h.usable(m) {
-			continue
-		}
-		capacity += m.kind.Capacity.CPU
-		for _, a := range m.attempts {
-			if a.state != Exited {
-				used += a.need.CPU
-			}
-		}
-	}
-	h.load = max(used, h.load-(h.load-used)/20)
+	arrays, services, capacity := h.cpuLoad()
+	h.load = max(arrays, h.load-(h.load-arrays)/20)
 	var best *machine
 	for _, m := range h.machines {
 		if m.kind == nil || m.block.Spot || !h.usable(m) || now-m.added < settled || m.idle != 0 ||
-			(h.load > (capacity-m.kind.Capacity.CPU)*8/10) ||
-			slices.ContainsFunc(h.needs, func(n fleet.Need) bool { return n.Allows(fleet.Offer{Type: m.block.Type, Zone: m.block.Zone}) }) {
+			h.load > (capacity-m.kind.Capacity.CPU-services)*8/10 ||
+			slices.ContainsFunc(h.needs, func(n fleet.Need) bool {
+				return !n.Service && n.Allows(fleet.Offer{Type: m.block.Type, Zone: m.block.Zone})
+			}) {
 			continue
 		}
-		if _, missing := h.spareMissing(m); missing > 0 {
+		if _, missing := h.spareMissing(m, false); missing > 0 {
 			continue
 		}
 		if best == nil || m.kind.Price > best.kind.Price {
@@ -492,13 +579,16 @@
 	if h.c.now-h.movedAt < movePace/2 || m.ack != h.token {
 		return
 	}
+	// A replica is away for as long as its image takes to arrive: a dear machine is
+	// worth that, others wait for room where the image is.
+	bare := h.c.now-m.drainAt > imagePatience && m.kind.Price > 3*h.cheapest()
 	for _, id := range sortedAttempts(m) {
 		a := m.attempts[id]
 		if a.state != Running || a.stop || a.j == nil || a.j.Kind != bookkeeping.Service {
 			continue
 		}
 		for _, o := range h.machines {
-			if o.kind == nil || !h.usable(o) || o.block.Spot && !a.j.Spot || !o.hasImage(a.j.Image) || !a.j.AllowsType(o.block.Type) ||
+			if o.kind == nil || !h.usable(o) || o.block.Spot && !a.j.Spot || (!o.hasImage(a.j.Image) && !bare) || !a.j.AllowsType(o.block.Type) ||
 				(a.j.Zone != "" && a.j.Zone != o.block.Zone) || a.j.OneZone || a.j.Spread || !a.need.Fits(h.free(o)) {
 				continue
 			}
