Weigh in the loss of spot machines when gaps are compared

The weighted tardiness of a gap is now its expectation, with the observed rate of losses (docs/design.md, exception to equation 8).

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -48,10 +48,23 @@
 	leader   leaderState
 	stats    *bookkeeping.RunTimes
 	faults   *fleet.Faults
+	spot     spotLosses
 	statusAt micros.Time
 	statusUp bool // send the status soon
 }
 
+// spotLosses counts how often spot machines are taken.
+type spotLosses struct {
+	losses int
+	time   micros.Time // machines times time
+}
+
+// rate is how often a spot machine is taken, a second. Before there is anything
+// to go by, it is one in half an hour.
+func (s *spotLosses) rate() float64 {
+	return float64(s.losses+1) / (micros.Seconds(s.time) + 1800)
+}
+
 type peerView struct {
 	at     micros.Time
 	status *Status
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -205,6 +205,9 @@
 	if m == nil {
 		return
 	}
+	if m.block.Spot && m.session != 0 && (m.draining == "silent" || m.notice != 0) {
+		h.c.spot.losses++
+	}
 	h.emptied(m)
 	h.machines = slices.DeleteFunc(h.machines, func(o *machine) bool { return o == m })
 	h.c.faults.ForgetMachine(id)
@@ -262,6 +265,8 @@
 	}
 	h.jobs[id] = j
 	h.dirty = true
+	h.c.log(levelDebug, "job", "job", id, "class", j.Class, "tasks", j.Tasks, "cpu", j.Need.CPU, "estimate_ms", j.Estimate/micros.Millisecond,
+		"due_ms", j.Deadline/micros.Millisecond)
 }
 
 // jobOver ends what is left of a job that is done or cancelled.
@@ -674,6 +679,9 @@
 		}
 		if whole {
 			clear(j.chunks)
+			took := h.c.wall - j.Submitted
+			h.c.log(levelInfo, "job done", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "took_ms", took/micros.Millisecond,
+				"late_ms", (took-j.Deadline)/micros.Millisecond)
 		}
 	})
 }
@@ -727,6 +735,11 @@
 			m.seen = max(m.seen, now-h.silence()/2)
 		}
 	}
+	for _, m := range h.machines {
+		if m.block.Spot && m.session != 0 && m.draining == "" {
+			h.c.spot.time += now - h.lastTick
+		}
+	}
 	h.lastTick = now
 	if !h.c.term.Valid(now) {
 		return
--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"math"
+
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/micros"
 )
@@ -16,6 +18,7 @@
 	Slowness float64           // observed run time against that of its peers; 1: like them
 	Services int               // replicas planned or running here
 	Up       bool              // false: still expected to boot
+	LossRate float64           // how often a machine of this kind is lost, a second
 }
 
 // Slot is a place for one task.
@@ -72,11 +75,22 @@
 	}
 	c := candidate{slot: Slot{Machine: m, Start: start, Length: length}, ready: start + fetch, ok: true}
 	if length < Forever {
-		c.slot.Tardiness = Tardiness(r.Weight, start+length, r.Due)
+		c.slot.Tardiness = expectedTardiness(r.Weight, start+length, r.Due, length, m.LossRate)
 	}
 	return c
 }
 
+// expectedTardiness weighs in that a machine may be taken while the task runs: on
+// average half way, and then it starts anew.
+func expectedTardiness(w float64, finish, due, length micros.Time, lossRate float64) float64 {
+	t := Tardiness(w, finish, due)
+	if lossRate <= 0 {
+		return t
+	}
+	lost := -math.Expm1(-lossRate * micros.Seconds(length))
+	return t + lost*(Tardiness(w, finish+length/2, due)-t)
+}
+
 // tie is the grain of time within which two gaps count as equally early.
 const tie = 250 * micros.Millisecond
 
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -109,6 +109,9 @@
 		}
 		pm := &plan.Machine{Key: i, Type: m.kind, Zone: m.block.Zone, Spot: m.block.Spot, Up: up, Slowness: 1,
 			Line: plan.NewTimeline(from, m.kind.Capacity), Images: m.hasImage}
+		if m.block.Spot {
+			pm.LossRate = h.c.spot.rate()
+		}
 		for _, id := range sortedAttempts(m) {
 			a := m.attempts[id]
 			if a.state == Exited {
