Correct estimates by the job's own completed and overdue tasks

An estimate now weighs as two completed tasks of the job, and no task is thought shorter than a sibling that still runs.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -46,7 +46,8 @@
 	storing bool
 	storeAt micros.Time
 	pause   micros.Time // no starts before
-	preempt micros.Time // last time room was made for it
+	ran     micros.Time // run times of its completed tasks, added up
+	ranN    int
 }
 
 func (j *job) finished(task int) bool {
@@ -544,6 +545,8 @@
 	case CauseDone:
 		if a.own && a.running > 0 {
 			h.c.stats.Observe(j.Class, j.Estimate, h.c.now-a.running)
+			j.ran += h.c.now - a.running
+			j.ranN++
 		}
 		h.c.faults.Succeeded(a.m.id, j.ID)
 		h.finish(a)
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -79,7 +79,7 @@
 // queued is what the index needs of a job's waiting tasks. A job with no
 // deadline takes d = arrival + 2p.
 func (h *holder) queued(j *job) *plan.Queued {
-	p := h.c.stats.Corrected(j.Job)
+	p := h.estimate(j)
 	q := &plan.Queued{Weight: plan.Weight(j.Priority), P: p, Count: j.waiting.Len()}
 	age := h.c.wall - j.Submitted
 	deadline := j.Deadline
@@ -90,6 +90,23 @@
 	return q
 }
 
+// trust is how many completed tasks of a job weigh as much as its estimate.
+const trust = 2
+
+// estimate is a task's run time as known by now: the owner's estimate, corrected
+// by what the class shows, and by the job's own tasks, completed or running
+// longer than that. Exception to the design, which takes run times as known.
+func (h *holder) estimate(j *job) micros.Time {
+	p := h.c.stats.Corrected(j.Job)
+	p = (p*trust + j.ran) / micros.Time(trust+j.ranN)
+	for _, a := range j.live {
+		if a.state == Running && a.running > 0 {
+			p = max(p, h.c.now-a.running)
+		}
+	}
+	return p
+}
+
 // planMachines builds the timelines from what runs.
 func (h *holder) planMachines() []*plan.Machine {
 	now := h.c.now
@@ -148,7 +165,7 @@
 	case a.j.Kind == bookkeeping.Service:
 		return plan.Forever
 	}
-	p := h.c.stats.Corrected(a.j.Job)
+	p := h.estimate(a.j)
 	if a.running == 0 {
 		return max(p, a.made+a.length-h.c.now)
 	}
