--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -29,9 +29,11 @@
 	needs    []fleet.Need
 	lastTick micros.Time
 	calmAt   micros.Time // silence is judged from then on
-	mergedAt micros.Time // last look at surplus machines
-	movedAt  micros.Time // last move of a replica
-	load     int64       // CPU that arrays used of late
+	// Until then, silence is put down to the network near this controller.
+	doubtUntil micros.Time
+	mergedAt   micros.Time // last look at surplus machines
+	movedAt    micros.Time // last move of a replica
+	load       int64       // CPU that arrays used of late
 }
 
 // job is an active job of the queue.
@@ -744,6 +746,10 @@
 		}
 	}
 	h.lastTick = now
+	if h.manySilent() {
+		// The last of them to be heard again must not be taken for dead meanwhile.
+		h.doubtUntil = now + h.silence()
+	}
 	if !h.c.term.Valid(now) {
 		return
 	}
@@ -780,7 +786,7 @@
 	}
 	if m.draining == "" {
 		switch {
-		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && !h.manySilent():
+		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil:
 			h.drain(m, "silent")
 		case !m.known && m.failed > 0 && m.ack == 0 && h.mostKnown():
 			// Older jobs wait for the last machine that could have their tasks: after
@@ -840,8 +846,10 @@
 	return known*4 >= used*3
 }
 
-// manySilent tells whether so many machines are silent at once that the fault
-// is more likely near this controller than at each of them.
+// manySilent tells whether so many machines are silent, or overdue, at once that
+// the fault is more likely near this controller than at each of them: then none
+// is deleted, and only the end of its lease writes one off. Overdue ones count
+// because in a cut the machines fall silent one after the other.
 func (h *holder) manySilent() bool {
 	silent, up := 0, 0
 	for _, m := range h.machines {
@@ -849,11 +857,11 @@
 			continue
 		}
 		up++
-		if h.c.now-m.seen > h.silence() {
+		if h.c.now-m.seen > h.silence()*7/10 {
 			silent++
 		}
 	}
-	return silent > 2 && silent*2 > up
+	return silent > 2 && silent*3 > up
 }
 
 // markUsed writes that the machine is in use, before its first task.
@@ -953,6 +961,9 @@
 		return s
 	}
 	for _, m := range h.machines {
+		if m.draining == "silent" && h.c.now < h.doubtUntil {
+			continue
+		}
 		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || h.empty(m)) {
 			s.Release = append(s.Release, m.id)
 		} else if h.usable(m) && h.empty(m) {
