--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -495,7 +495,7 @@
 // missing: if without is given, after its replicas have moved elsewhere. Machines
 // that still boot count if booting is set.
 func (h *holder) spareMissing(without *machine, booting bool) (*job, int) {
-	replicas, most := 0, 0
+	replicas := 0
 	var kind *job
 	perMachine := map[*machine]int{}
 	for _, id := range sortedKeys(h.jobs) {
@@ -506,9 +506,6 @@
 		for _, a := range j.live {
 			replicas++
 			perMachine[a.m]++
-			if a.m != without {
-				most = max(most, perMachine[a.m])
-			}
 		}
 		if kind == nil || j.Need.CPU > kind.Need.CPU {
 			kind = j
@@ -517,11 +514,10 @@
 	if kind == nil {
 		return nil, 0
 	}
-	want := max(most, (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100) + 1
-	if without != nil {
-		want += perMachine[without]
-	}
+	growth := (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100 + 1
+	moving := perMachine[without] // 0 if without is nil
 	room := 0
+	roomOn := map[*machine]int{}
 	for _, m := range h.machines {
 		if m == without || m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) ||
 			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (!booting || !h.expected(m))) {
@@ -533,9 +529,17 @@
 				free = free.Sub(a.need)
 			}
 		}
-		room += int(kind.Need.Count(free))
+		roomOn[m] = int(kind.Need.Count(free))
+		room += roomOn[m]
+	}
+	missing := growth + moving - room
+	for m, n := range perMachine {
+		if m != without {
+			// What this machine has must fit on the others.
+			missing = max(missing, n+moving-(room-roomOn[m]))
+		}
 	}
-	return kind, want - room
+	return kind, missing
 }
 
 const (
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -114,9 +114,7 @@
 		if m.gone {
 			return
 		}
-		if !m.hung {
-			m.expire()
-		}
+		m.expire() // a hanging machine can only go on within its lease
 		m.watchLease()
 	})
 }
