--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+member = "node-0"
+zone = "a"
+listen = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+future = 1
+[[siblings]]
+member = "node-1"
+zone = "a"
+address = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+nodes = 2
+zones = ["a"]
+skew_ms = 5.0
+[[settings.teams]]
+name = "alpha"
+cpus = 16.0
+cpus_max = 48.0
+[settings.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 35.0
+[settings.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 12
+[settings.cloud]
+rps = 8.0
+list_lag_s = 8.0
+[settings.machine_limits]
+cpu = 0.24
+memory_mb = 125.0
+max_connections = 1000
+`
+
+func TestGoodSettings(t *testing.T) {
+	c, err := Parse([]byte(good), []byte("permit_ms: 3000 queues: 2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Operator.PermitMs != 3000 || c.Operator.SilenceMs != 3000 || c.Settings.Teams[0].CPUsMax != 48 {
+		t.Errorf("got %+v", c.Operator)
+	}
+	// Term + lease + margins stay within cancel_s.
+	if got := c.Term() + c.LeaseRunOut(); got >= 35_000_000 || got < 30_000_000 {
+		t.Errorf("term and lease take %d us", got)
+	}
+}
+
+// TestBadSettings wants one line an error, each naming its field.
+func TestBadSettings(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{`member = "node-0"`, ``, "member:"},
+		{`listen = "10.0.0.1:8080"`, `listen = "here"`, "listen:"},
+		{`state = "10.2.0.1:2379"`, ``, "services.state:"},
+		{`address = "10.0.0.2:8081"`, ``, "siblings[0].address:"},
+		{`nodes = 2`, `nodes = 0`, "settings.nodes:"},
+		{`nodes = 2`, `nodes = "two"`, "settings.nodes:"},
+		{`name = "alpha"`, ``, "settings.teams[0].name:"},
+		{`cpus_max = 48.0`, `cpus_max = -1.0`, "settings.teams[0].cpus_max:"},
+		{`lease_s = 10.0`, `lease_s = 0.0`, "settings.workers.lease_s:"},
+		{`cancel_s = 35.0`, `cancel_s = 8.0`, "settings.workers.cancel_s:"},
+		{`txn_ops = 12`, `txn_ops = 1`, "settings.state.txn_ops:"},
+		{`max_connections = 1000`, `max_connections = 2`, "settings.machine_limits.max_connections:"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)), nil)
+		if err == nil || !strings.HasPrefix(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: got %v, want one line on %s", c.to, err, c.field)
+		}
+	}
+	bad := strings.Replace(strings.Replace(good, `member = "node-0"`, "", 1), "nodes = 2", "nodes = 0", 1)
+	if _, err := Parse([]byte(bad), nil); err == nil || strings.Count(err.Error(), "\n") != 1 {
+		t.Errorf("two errors: got %v", err)
+	}
+	if _, err := Parse([]byte(good), []byte("no_such_field: 1")); err == nil {
+		t.Error("a bad operator file was taken")
+	}
+}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,104 @@
+package protocol
+
+import (
+	"reflect"
+	gostrings "strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/coordination/fleet"
+	"pipitlatch/internal/storage"
+)
+
+const good = `{"ref":"wk-000412","jobclass":"train","owner":"vision","shape":"array","rank":"urgent","shards":16,
+ "cores":8.0,"gpus":1.0,"ram_gb":64.0,"bundle":"img-07","size_gb":6.2,"hulls":["g8"],"berth":null,"one_zone":true,
+ "apart":false,"loaners":true,"expect_s":240.0,"snapshot_every_s":30.0,"snapshot_s":4.0,"due_s":900.0,"later":[1]}`
+
+func TestParseSubmission(t *testing.T) {
+	id, j, err := ParseSubmission([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &bookkeeping.Job{ID: "wk-000412", Class: "train", Team: "vision", Priority: bookkeeping.High, Tasks: 16,
+		Need: bookkeeping.Resources{CPU: 8000, GPU: 1000, Mem: 64000}, Types: []string{"g8"}, OneZone: true, Spot: true,
+		Image: "img-07", ImageGB: 6.2, Estimate: 240e6, CheckpointEvery: 30e6, SaveTime: 4e6, Deadline: 900e6}
+	if id != "wk-000412" || !reflect.DeepEqual(j, want) {
+		t.Errorf("got %+v", j)
+	}
+}
+
+func TestMalformedSubmissions(t *testing.T) {
+	for _, c := range []struct{ from, to, id string }{
+		{good, "", ""}, {good, "null", ""}, {good, "[1]", ""}, {good, `"x"`, ""}, {good, "{", ""}, {good, good + "x", ""},
+		{`"wk-000412"`, `"job-1"`, ""}, {`"wk-000412"`, `12`, ""}, {`"ref":"wk-000412",`, ``, ""},
+		{`"shards":16`, `"shards":0`, "wk-000412"}, {`"shards":16`, `"shards":100001`, "wk-000412"},
+		{`"shards":16`, `"shards":1.5`, "wk-000412"}, {`"shards":16`, `"shards":"16"`, "wk-000412"}, {`"shards":16,`, ``, "wk-000412"},
+		{`"cores":8.0`, `"cores":-1`, "wk-000412"}, {`"cores":8.0`, `"cores":null`, "wk-000412"}, {`"cores":8.0`, `"cores":1e300`, "wk-000412"},
+		{`"shape":"array"`, `"shape":"heap"`, "wk-000412"}, {`"rank":"urgent"`, `"rank":"vip"`, "wk-000412"},
+		{`"hulls":["g8"]`, `"hulls":"g8"`, "wk-000412"}, {`"hulls":["g8"]`, `"hulls":[]`, "wk-000412"}, {`"hulls":["g8"]`, `"hulls":[7]`, "wk-000412"},
+		{`"one_zone":true`, `"one_zone":"yes"`, "wk-000412"}, {`"due_s":900.0`, `"due_s":-3`, "wk-000412"},
+		{`"owner":"vision"`, `"owner":""`, "wk-000412"},
+	} {
+		body := gostrings.Replace(good, c.from, c.to, 1)
+		id, j, err := ParseSubmission([]byte(body))
+		if err == nil || j != nil || id != c.id {
+			t.Errorf("%s -> %s: id %q, job %v, err %v", c.from[:min(30, len(c.from))], c.to[:min(30, len(c.to))], id, j, err)
+		}
+	}
+}
+
+func TestStatusRoundTrip(t *testing.T) {
+	s := &coordination.Status{From: storage.Process{Member: "a", Incarnation: "x"}, Revision: 77, StateOK: true,
+		Queues: []coordination.QueueStatus{{Queue: 1, Token: 9, Release: []string{"vm-1"}, Idle: []string{"vm-2", "vm-3"},
+			Needs: []fleet.Need{{Each: bookkeeping.Resources{CPU: 1, GPU: 2, Mem: 3}, Count: 4, Spot: true, Types: []string{"t"}, Zone: "z",
+				Service: true, Replicas: 5, Urgent: true, Hold: 6}}}},
+		Gone: []string{"vm-9"}, Shifts: []coordination.Shift{{Machine: "vm-4", To: 1}},
+		Progress: []coordination.JobProgress{{ID: "wk-1", Done: 2, Running: 3}}}
+	got, err := DecodeStatus(EncodeStatus(s))
+	if err != nil || !reflect.DeepEqual(got, s) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+// TestDamagedInput feeds noise to every decoder: none may panic.
+func TestDamagedInput(t *testing.T) {
+	raw := EncodeStatus(&coordination.Status{From: storage.Process{Member: "a"}, Gone: []string{"vm-1", "vm-2"}})
+	rapid.Check(t, func(t *rapid.T) {
+		b := append([]byte(nil), raw...)
+		for range rapid.IntRange(1, 8).Draw(t, "damage") {
+			b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		_, _ = DecodeStatus(b)
+		noise := []byte(rapid.String().Draw(t, "noise"))
+		for _, body := range [][]byte{noise, b} {
+			_, _, _ = ParseSubmission(body)
+			_, _ = ParseReport(body)
+			for _, status := range []int{200, 404, 409, 410, 503, 400, 302} {
+				if r, _ := DecodeState(storage.Watch, status, body); r == nil {
+					t.Fatal("no reply")
+				}
+				if r, _ := DecodeCloud(coordination.CloudList, status, body); r == nil {
+					t.Fatal("no reply")
+				}
+				if DecodeWorker(status, body) == nil {
+					t.Fatal("no reply")
+				}
+			}
+		}
+	})
+}
+
+func TestUnreadableAnswersCountAsLost(t *testing.T) {
+	if r, err := DecodeState(storage.Commit, 200, []byte("<html>")); r.Outcome != storage.Lost || err == nil {
+		t.Errorf("state: %v %v", r.Outcome, err)
+	}
+	if r, err := DecodeCloud(coordination.CloudRent, 200, []byte(`{"hosts":[""]}`)); r.Outcome != coordination.CloudLost || err == nil {
+		t.Errorf("cloud: %v %v", r.Outcome, err)
+	}
+	if r := DecodeWorker(200, []byte(`{"host":"vm-1","tenure":1,"shards":[{"shard":"wk-1/0","try":1,"phase":"dreaming"}]}`)); r.Report != nil {
+		t.Error("worker: an unknown state was believed")
+	}
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -27,7 +27,10 @@
 }
 
 func newAdmission(most uint) *admission {
-	return &admission{adaptivelimiter.NewBuilder[any]().WithLimits(min(16, most), most, min(64, most)).
+	// The least is what users ask for all at once after an outage; below it the
+	// limit would refuse them for nothing.
+	least := max(most/4, min(most, 16))
+	return &admission{adaptivelimiter.NewBuilder[any]().WithLimits(least, most, max(least, most/2)).
 		WithMaxLimitFactor(16).Build()}
 }
 
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,167 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"pipitlatch/internal/config"
+)
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a controller on loopback whose state service and cloud are down.
+func start(t *testing.T) string {
+	down := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }))
+	t.Cleanup(down.Close)
+	addr := freeAddress(t)
+	outside := strings.TrimPrefix(down.URL, "http://")
+	toml := fmt.Sprintf(`member = "n"
+listen = %q
+internal_addr = %q
+[services]
+cloud = %q
+state = %q
+[settings]
+nodes = 1
+[[settings.teams]]
+name = "alpha"
+[settings.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 35.0
+[settings.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 12
+[settings.cloud]
+rps = 8.0
+[settings.machine_limits]
+memory_mb = 125.0
+max_connections = 100
+`, addr, freeAddress(t), outside, outside)
+	cfg, err := config.Parse([]byte(toml), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Run(ctx, cfg, slog.New(slog.NewTextHandler(io.Discard, nil))) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	for range 100 {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			return addr
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("it does not listen")
+	return ""
+}
+
+// TestAnswersInAnOutage checks every status that needs no state service, and
+// that the rest is refused at once, with when to come back.
+func TestAnswersInAnOutage(t *testing.T) {
+	addr := start(t)
+	job := `{"ref":"wk-000001","jobclass":"c","owner":"alpha","shape":"array","rank":"low","shards":1,"cores":1,"gpus":0,"ram_gb":1,` +
+		`"bundle":"i","size_gb":1,"one_zone":false,"apart":false,"loaners":false,"expect_s":1,"snapshot_every_s":0,"snapshot_s":0}`
+	report := `{"host":"vm-000001","endpoint":"127.0.0.1:1","hull":"h","berth":"a","loaners":false,"tenure":1,"tick":1,"warrant":0,"shards":[]}`
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{"POST", "/submissions", "nonsense", 400},
+		{"POST", "/submissions", `{"ref":"x"}`, 400},
+		{"POST", "/submissions", "{" + strings.Repeat(" ", 70_000) + "}", 400},
+		{"POST", "/submissions", job, 503},
+		{"POST", "/submissions", strings.Replace(job, `"shards":1`, `"shards":0`, 1), 503}, // it may be known
+		{"GET", "/submissions/wk-000001", "", 503},
+		{"GET", "/submissions/other", "", 404},
+		{"POST", "/submissions/wk-000001/abort", "", 503},
+		{"POST", "/submissions/other/abort", "", 404},
+		{"POST", "/v1/report", "{", 400},
+		{"POST", "/v1/report", report, 503},
+		{"GET", "/nowhere", "", 404},
+		{"DELETE", "/submissions", "", 405},
+	} {
+		req, err := http.NewRequest(c.method, "http://"+addr+c.path, strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatalf("%s %s: %v", c.method, c.path, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != c.want {
+			t.Errorf("%s %s %.40s: got %d, want %d", c.method, c.path, c.body, resp.StatusCode, c.want)
+		}
+		if c.want == 503 && resp.Header.Get("Retry-After") == "" {
+			t.Errorf("%s %s: no Retry-After", c.method, c.path)
+		}
+		if took := time.Since(begin); took > 2*time.Second {
+			t.Errorf("%s %s: answered after %v", c.method, c.path, took)
+		}
+	}
+}
+
+func TestAdmissionRefusesAtOnce(t *testing.T) {
+	hold, entered := make(chan bool), make(chan bool, 64)
+	adm := newAdmission(4)
+	srv := httptest.NewServer(adm.guard(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- true
+		<-hold
+		write(w, 200, nil)
+	}))
+	defer srv.Close()
+	done := make(chan int, 4)
+	for range 4 {
+		go func() {
+			resp, err := http.Get(srv.URL)
+			if err != nil {
+				done <- 0
+				return
+			}
+			resp.Body.Close()
+			done <- resp.StatusCode
+		}()
+	}
+	for range 4 {
+		<-entered
+	}
+	resp, err := http.Get(srv.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("beyond the limit: %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	close(hold)
+	for range 4 {
+		if got := <-done; got != 200 {
+			t.Errorf("within the limit: %d", got)
+		}
+	}
+}
