--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -154,7 +154,7 @@
 	orDefault(&o.Queues, 1)
 	orDefault(&o.PermitMs, 1500)
 	orDefault(&o.SilenceMs, uint32(c.Settings.Workers.ReportS*2000))
-	orDefault(&o.IdleKeepS, 90)
+	orDefault(&o.IdleKeepS, 45)
 	orDefault(&o.MaxInProgress, uint32(max(8, c.Settings.MachineLimits.MaxConnections/4)))
 	orDefault(&o.MemoryPercent, 70)
 	orDefault(&o.SparePercent, 15)
