--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -514,7 +514,7 @@
 	if kind == nil {
 		return nil, 0
 	}
-	growth := (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100 + 1 + h.arrivals(kind)
+	growth := (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100 + 1
 	moving := perMachine[without] // 0 if without is nil
 	room := 0
 	roomOn := map[*machine]int{}
@@ -542,33 +542,6 @@
 	return kind, missing
 }
 
-// arrivalWindow is the time over which arrivals of services are counted.
-const arrivalWindow = 120 * micros.Second
-
-// arrivals is how many replicas are to be expected while a machine boots, going
-// by the last minutes; a crowd at the start counts for a third at most.
-func (h *holder) arrivals(kind *job) int {
-	recent, all := 0, 0
-	for _, j := range h.jobs {
-		if j.Kind == bookkeeping.Service {
-			all += j.Tasks
-			if h.c.wall-j.Submitted < arrivalWindow {
-				recent += j.Tasks
-			}
-		}
-	}
-	boot := micros.Max
-	for _, t := range h.c.catalog {
-		if kind.AllowsType(t.Name) && kind.Need.Fits(t.Capacity) {
-			boot = min(boot, t.Boot)
-		}
-	}
-	if boot == micros.Max {
-		return 0
-	}
-	return int(min(int64(all)/3, (int64(recent)*boot+arrivalWindow/2)/arrivalWindow))
-}
-
 const (
 	// settled is how long a machine is kept before it can be given up: it costs a
 	// minute anyway.
