--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -116,6 +116,7 @@
 	state   TaskState
 	shown   bool // a report showed it
 	stored  bool // nothing more is to be kept of it
+	sent    bool // its start went out, or a report showed it
 	open    int  // sends of its start without an answer yet
 	lost    int  // sends of its start that got no answer: they may come late
 	made    micros.Time
@@ -460,7 +461,9 @@
 	}
 	for _, id := range sortedAttempts(m) {
 		a := m.attempts[id]
-		if shown[id] || (!a.shown && a.open+a.lost > 0) {
+		// A start that still waits in the outbox, or that got no answer, says nothing
+		// by its absence: taking it for not started would run the task twice.
+		if shown[id] || !a.sent || (!a.shown && a.open+a.lost > 0) {
 			continue
 		}
 		// Forgotten as ordered, or, if it was never shown, surely not started.
@@ -479,7 +482,7 @@
 
 // adopt takes an attempt that this holder did not start.
 func (h *holder) adopt(m *machine, t *TaskReport) *attempt {
-	a := &attempt{id: t.AttemptID, m: m, state: t.State, made: h.c.now}
+	a := &attempt{id: t.AttemptID, m: m, state: t.State, made: h.c.now, sent: true}
 	m.attempts[a.id] = a
 	a.j = h.jobs[t.Job]
 	if e := h.c.replica.Jobs[t.Job]; e != nil {
@@ -696,6 +699,10 @@
 	if a.state == Exited || (a.stop && a.grace <= grace) {
 		return
 	}
+	if !a.sent {
+		h.withdraw(a)
+		return
+	}
 	a.stop, a.grace = true, grace
 	if a.stopped == 0 {
 		a.stopped = h.c.now
@@ -703,6 +710,14 @@
 	a.m.outbox = append(a.m.outbox, Command{Op: Stop, AttemptID: a.id, Grace: grace})
 }
 
+// withdraw takes back an attempt whose start was not sent yet.
+func (h *holder) withdraw(a *attempt) {
+	h.leave(a)
+	h.requeue(a)
+	delete(a.m.attempts, a.id)
+	a.m.outbox = slices.DeleteFunc(a.m.outbox, func(c Command) bool { return c.AttemptID == a.id })
+}
+
 // silence is how long a machine may go without news.
 func (h *holder) silence() micros.Time {
 	return micros.Time(h.c.cfg.Operator.SilenceMs) * micros.Millisecond
@@ -897,6 +912,7 @@
 		a := m.attempts[batch[i].AttemptID]
 		if a != nil && batch[i].Op == Start {
 			a.open++
+			a.sent = true
 		}
 	}
 	h.callMachine(m, batch, false)
