--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -87,33 +87,9 @@
 		deadline = 2 * p
 	}
 	q.Due = h.c.now - age + deadline
-	q.Weight *= h.prospect(j, age+p)
 	return q
 }
 
-// prospect lowers the weight of a job that can no longer meet objectives of its
-// class: behind it are jobs that still can. Without this, when more is asked than
-// the machines can do, the index puts what is late already first, and in the end
-// everything is late. A job that has missed all keeps a part, so it still ends.
-func (h *holder) prospect(j *job, finish micros.Time) float64 {
-	all, left := 0, 0
-	for _, o := range h.c.cfg.Settings.Objectives {
-		if o.Kind == "deadline" && o.Class == j.Class && j.Deadline > 0 {
-			all++
-			if finish <= micros.Time(float64(j.Deadline)*max(o.Times, 1)) {
-				left++
-			}
-		}
-	}
-	if all == 0 {
-		return 1
-	}
-	return (float64(left) + hopeless) / (float64(all) + hopeless)
-}
-
-// hopeless is the weight, in objectives, of ending at all.
-const hopeless = 0.5
-
 // trust is how many completed tasks of a job weigh as much as its estimate.
 const trust = 2
 
