--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -535,17 +535,14 @@
 	missing := growth + moving - room
 	for m, n := range perMachine {
 		if m != without {
-			// What this machine has must fit on the others, up to a bound: for the
-			// rest of a large machine's replicas, standing room costs too much.
-			missing = max(missing, min(n, mostCovered)+moving-(room-roomOn[m]))
+			// What this machine has must fit on the others.
+			missing = max(missing, n+moving-(room-roomOn[m]))
 		}
 	}
 	return kind, missing
 }
 
 const (
-	// mostCovered is how many replicas of a lost machine find room at once.
-	mostCovered = 4
 	// settled is how long a machine is kept before it can be given up: it costs a
 	// minute anyway.
 	settled = 60 * micros.Second
@@ -666,16 +663,9 @@
 // returnIdle gives machines back that have had no task for a while and are not
 // part of the spare room for services.
 func (h *holder) returnIdle() {
-	kind, _ := h.spareMissing(nil, true)
-	large := h.oversized(kind)
 	for _, m := range h.machines {
 		keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
 		if !m.block.Spot {
-			if large != nil && m.kind != nil && m.kind.Capacity.CPU < large.kind.Capacity.CPU {
-				// It is there to take over from the large one, once the others that
-				// were rented for that are up too: returned before, it is rented anew.
-				keep *= 3
-			}
 			keep /= 3 // ordinary machines cost more; arrays mostly need not wait for them
 		}
 		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.empty(m) ||
