--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -80,7 +80,7 @@
 
 // urgentBoot is the boot time that doubles a machine's cost in the eyes of
 // services that wait for it.
-const urgentBoot = 4 * micros.Second
+const urgentBoot = 15 * micros.Second
 
 // Choose rents for the needs, in their order, what costs least a task over boot
 // and use, at most limit machines in all. Room left on a machine chosen for one
