--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -24,6 +24,8 @@
 type ranked struct {
 	j *job
 	q *plan.Queued
+	// guaranteed work does not wait on other teams' borrowed capacity.
+	guaranteed bool
 }
 
 // schedule plans the waiting tasks and starts those whose slot is now.
@@ -48,7 +50,7 @@
 		if silent && j.version < h.since {
 			continue
 		}
-		r := ranked{j, h.queued(j)}
+		r := ranked{j, h.queued(j), h.guaranteed(j)}
 		if j.Kind == bookkeeping.Service {
 			services = append(services, r)
 		} else {
@@ -60,7 +62,15 @@
 	slices.SortStableFunc(services, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.Submitted, b.j.Submitted))
 	})
-	slices.SortStableFunc(arrays, func(a, b ranked) int { return cmp.Compare(b.q.Index, a.q.Index) })
+	slices.SortStableFunc(arrays, func(a, b ranked) int {
+		if a.guaranteed != b.guaranteed {
+			if a.guaranteed {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.q.Index, a.q.Index)
+	})
 
 	var needs []fleet.Need
 	for _, r := range services {
@@ -395,6 +405,14 @@
 	return []fleet.Need{h.need(j, (short+int(waves)-1)/int(waves))}
 }
 
+// guaranteed tells whether the job fits into its team's guarantee with all that
+// the team runs: such work need not wait on other teams. Exception to the design,
+// whose index knows no teams: it comes before what teams borrow.
+func (h *holder) guaranteed(j *job) bool {
+	t := h.c.teams[j.Team]
+	return t != nil && t.GuaranteeCPU+t.GuaranteeG > 0 && t.Guaranteed(h.usage[j.Team].Add(j.Need.Times(int64(j.waiting.Len()))))
+}
+
 // spare asks for room to take up the services of the machine that holds most of
 // them, and some growth, at once: free room, or room that arrays can be stopped
 // for. Exception to the design, which plans for tasks that are there.
