--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -243,21 +243,15 @@
 func (h *holder) placeService(r ranked, machines []*plan.Machine) []fleet.Need {
 	j := r.j
 	count := min(j.waiting.Len(), h.allowance(j))
-	short := 0
 	placed := plan.Place(h.request(r, count), machines, func(s plan.Slot) {
 		m := h.machines[s.Machine.Key]
-		if !m.hasImage(j.Image) && micros.FromSeconds(j.ImageGB/max(m.kind.FetchGBps, 1e-3)) > h.waitFor(j)/2 && h.makeRoom(j, micros.Max, true) {
-			return // an array's place where the image is beats a free one without it
-		}
 		if s.Machine.Up && s.Start <= h.c.now && h.start(j, m, plan.Forever) {
 			return
 		}
-		if !h.makeRoom(j, s.Start, false) {
-			short++
-		}
+		h.makeRoom(j, s.Start)
 	})
 	for range count - placed {
-		h.makeRoom(j, micros.Max, false)
+		h.makeRoom(j, micros.Max)
 	}
 	if missing := count - placed; missing > 0 {
 		n := h.need(j, missing)
@@ -278,21 +272,10 @@
 	return n
 }
 
-// waitFor is how long tasks of the job's class may wait for their start.
-func (h *holder) waitFor(j *job) micros.Time {
-	for _, o := range h.c.cfg.Settings.Objectives {
-		if o.Kind == "wait" && o.Class == j.Class && o.WithinS > 0 {
-			return micros.FromSeconds(o.WithinS)
-		}
-	}
-	return 10 * micros.Second
-}
-
 // makeRoom stops work of lower priority for a task that otherwise would wait
 // until a time, and starts the task in its place. Exception to the design: the
-// paper's tasks are not preempted, but services must not wait for arrays. With
-// image set, only machines that have the job's image will do.
-func (h *holder) makeRoom(j *job, until micros.Time, image bool) bool {
+// paper's tasks are not preempted, but services must not wait for arrays.
+func (h *holder) makeRoom(j *job, until micros.Time) bool {
 	now := h.c.now
 	if until-now < micros.Second || j.waiting.Len() == 0 {
 		return false
@@ -302,7 +285,7 @@
 	bestCost := 0.0
 	for _, m := range h.machines {
 		if m.kind == nil || !h.usable(m) || m.pause > now || !j.AllowsType(m.block.Type) || (j.Zone != "" && j.Zone != m.block.Zone) ||
-			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) || (image && !m.hasImage(j.Image)) {
+			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) {
 			continue
 		}
 		free := m.kind.Capacity
