Plan for slow machines and give up very slow ones

A machine's completed tasks are now held against their siblings elsewhere; from 1.3 on the planner reckons with it, from 2.5 on the machine is given up.

--- a/internal/coordination/barrier.go
+++ b/internal/coordination/barrier.go
@@ -11,11 +11,10 @@
 // service tells a revision, and once the stream has reached it, the replica is
 // at least as new as the moment of that read. One read serves all that wait.
 type barrier struct {
-	waiting  []barrierWait // for the next read
-	reading  bool
-	reached  []barrierWait // read; wait for the stream
-	readAt   micros.Time
-	failedAt micros.Time
+	waiting []barrierWait // for the next read
+	reading bool
+	reached []barrierWait // read; wait for the stream
+	readAt  micros.Time
 }
 
 type barrierWait struct {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -92,6 +92,9 @@
 	drainAt  micros.Time // since when
 	pause    micros.Time // no starts before
 
+	ran  float64 // run times of completed tasks over their siblings', added up
+	ranN int
+
 	attempts map[AttemptID]*attempt
 	images   []image // most recently used last
 	outbox   []Command
@@ -549,6 +552,10 @@
 	switch t.Cause {
 	case CauseDone:
 		if a.own && a.running > 0 {
+			if j.ranN >= 2 { // against its siblings: the owner's estimate says little
+				a.m.ran += min(20, float64(h.c.now-a.running)*float64(j.ranN)/float64(max(1, j.ran)))
+				a.m.ranN++
+			}
 			h.c.stats.Observe(j.Class, j.Estimate, h.c.now-a.running)
 			j.ran += h.c.now - a.running
 			j.ranN++
@@ -812,6 +819,8 @@
 			h.drain(m, "never came up")
 		case h.c.faults.Faulty(m.id):
 			h.drain(m, "faulty")
+		case m.ranN >= slowAfter && m.slowness() > tooSlow:
+			h.drain(m, "slow")
 		case h.unresolved(m):
 			// A start that is no longer wanted may still arrive: only the end of the
 			// machine, or of its session, settles that.
@@ -847,6 +856,23 @@
 	h.c.log(levelInfo, "machine drains", "machine", m.id, "why", why, "attempts", len(m.attempts))
 }
 
+const (
+	// slowAfter is how many tasks must have completed before a machine is judged.
+	slowAfter = 3
+	// tooSlow is how much slower than its peers a machine may be: sound ones of a
+	// type differ by a tenth, estimates by more.
+	tooSlow = 2.5
+)
+
+// slowness is the machine's run times against those of the same jobs elsewhere;
+// what lies within the spread of sound machines counts as none.
+func (m *machine) slowness() float64 {
+	if s := (2 + m.ran) / float64(2+m.ranN); s > 1.3 {
+		return s
+	}
+	return 1
+}
+
 // mostKnown tells whether most of the machines in use are known.
 func (h *holder) mostKnown() bool {
 	known, used := 0, 0
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -134,7 +134,7 @@
 			// Boot times vary; one that is overdue is taken to be there soon.
 			from = max(now+2*micros.Second, m.added+m.kind.Boot)
 		}
-		pm := &plan.Machine{Key: i, Type: m.kind, Zone: m.block.Zone, Spot: m.block.Spot, Up: up, Slowness: 1,
+		pm := &plan.Machine{Key: i, Type: m.kind, Zone: m.block.Zone, Spot: m.block.Spot, Up: up, Slowness: m.slowness(),
 			Line: plan.NewTimeline(from, m.kind.Capacity), Images: m.hasImage}
 		if m.block.Spot {
 			pm.LossRate = h.c.spot.rate()
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -12,14 +12,13 @@
 )
 
 type workerTask struct {
-	id      string
-	try     uint64
-	phase   string
-	cause   string
-	stored  bool
-	job     *userJob
-	life    int
-	changed micros.Time
+	id     string
+	try    uint64
+	phase  string
+	cause  string
+	stored bool
+	job    *userJob
+	life   int
 }
 
 // machine is a rented machine with its worker agent.
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -9,7 +9,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 
 	"pipitlatch/internal/config"
 	"pipitlatch/internal/coordination"
@@ -292,7 +291,3 @@
 	}
 	return best
 }
-
-func (w *World) fail(format string, args ...any) error {
-	return fmt.Errorf(strings.TrimSpace(format), args...)
-}
