--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -678,10 +678,18 @@
 // returnIdle gives machines back that have had no task for a while and are not
 // part of the spare room for services.
 func (h *holder) returnIdle() {
+	kind, _ := h.spareMissing(nil, true)
+	large := h.oversized(kind)
 	for _, m := range h.machines {
 		keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
 		if !m.block.Spot {
 			keep /= 3 // ordinary machines cost more; arrays mostly need not wait for them
+			if large != nil && m.kind != nil && m.kind.Capacity.CPU < large.kind.Capacity.CPU {
+				// It is there to take over from the large one once the others rented
+				// for that have booted; returned before, it would be rented anew, and
+				// the large one never be given up.
+				keep = 3 * m.kind.Boot
+			}
 		}
 		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.empty(m) ||
 			slices.ContainsFunc(h.needs, func(n fleet.Need) bool {
