--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -592,13 +592,8 @@
 	h.mergedAt = now
 	arrays, services, capacity := h.cpuLoad()
 	h.load = max(arrays, h.load-(h.load-arrays)/20)
-	kind, _ := h.spareMissing(nil, true)
-	large := h.oversized(kind)
 	var best *machine
 	for _, m := range h.machines {
-		if large != nil && m.kind != nil && m.kind.Capacity.CPU < large.kind.Capacity.CPU {
-			continue // packing replicas onto the large one would only keep it
-		}
 		if m.kind == nil || m.block.Spot || !h.usable(m) || now-m.added < settled || m.idle != 0 ||
 			h.load > (capacity-m.kind.Capacity.CPU-services)*8/10 ||
 			slices.ContainsFunc(h.needs, func(n fleet.Need) bool {
