--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -121,11 +121,11 @@
 							price = t.SpotPrice
 						}
 						cost := price * micros.Seconds(t.Boot+n.Hold) / float64(min(slots, left))
-						switch {
-						case n.Urgent:
-							cost *= 1 + float64(t.Boot)/float64(urgentBoot)
-						case n.Service:
+						if n.Service {
 							cost *= 1 + float64(slots)/float64(max(1, n.Replicas))
+							if n.Urgent {
+								cost *= 1 + float64(t.Boot)/float64(urgentBoot)
+							}
 						}
 						if best == nil || cost < bestCost {
 							best, bestCost = &room{o, t.Capacity}, cost
