--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -61,7 +61,7 @@
 	"state down for=%d", "state down-for holder for=%d", "state slow 0.4 for=%d", "state lose 0.3 for=%d", "state late 0.3 for=%d",
 	"crash holder back=%d", "crash all back=%d", "crash others back=%d", "crash holder back=0.2", "roll every=%d back=3", "pause holder for=%d",
 	"cut holder others for=%d", "cut holder state hold for=%d", "cut holder for=%d", "cut all hold for=%d",
-	"worker any die", "worker any hang for=%d", "worker spot take", "worker spot take notice=%d", "worker any sick", "worker any slow factor=4",
+	"worker any die", "worker any hang for=%d", "worker spot take", "worker spot take notice=%d", "worker any sick", "worker any late by=6 for=%d", "worker all late by=4 for=%d", "worker any slow factor=4",
 	"cut vm-000001 hold for=%d", "cut vm-000002 for=%d", "cut vm-000001 holder hold for=%d",
 	"cloud down for=%d", "cloud late 8 for=%d", "cloud neverup 0.5 for=%d", "cloud slowboot 3 for=%d", "cloud full for=%d",
 }
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -309,6 +309,9 @@
 				m.hang(length)
 			case "sick":
 				m.sick = true
+			case "late":
+				m.late = l.secs("by", 8)
+				w.after(length, func() { m.late = 0 })
 			case "slow":
 				m.speed *= l.num("factor", 3)
 			case "take":
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -39,6 +39,7 @@
 	hung    bool
 	thaw    []func()
 	sick    bool
+	late    micros.Time // commands sent straight to it are delayed by up to this
 	recall  micros.Time // when it is taken; 0: no notice
 
 	tenure   uint64
@@ -284,12 +285,21 @@
 	WindDownS float64 `json:"wind_down_s"`
 }
 
+// direct delivers what is sent straight to the worker.
+func (m *machine) direct(run func()) {
+	if m.late > 0 {
+		m.w.after(m.w.rng.Int64N(int64(m.late)), func() { m.do(run) })
+		return
+	}
+	m.do(run)
+}
+
 func (m *machine) show(reply func(int, []byte)) {
-	m.do(func() { reply(200, m.body()) })
+	m.direct(func() { reply(200, m.body()) })
 }
 
 func (m *machine) commands(body []byte, reply func(int, []byte)) {
-	m.do(func() {
+	m.direct(func() {
 		var r struct {
 			Warrant *uint64       `json:"warrant"`
 			Tenure  *uint64       `json:"tenure"`
