--- a/cmd/pipitlatch/main.go
+++ b/cmd/pipitlatch/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -83,15 +84,35 @@
 	}
 }
 
+// newParser builds the command line's parser.
+func newParser(c *cli) (*kong.Kong, error) {
+	return kong.New(c, kong.Name("pipitlatch"), kong.Description("A controller of the pipitlatch cluster scheduler."),
+		kong.Vars{"version": version}, kong.UsageOnError())
+}
+
+// status is the exit status for what a command returned.
+func status(err error) int {
+	var bad badSettings
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &bad): // the parser wraps what commands return
+		return 2
+	default:
+		return 1
+	}
+}
+
 func main() {
 	var c cli
-	ctx := kong.Parse(&c, kong.Name("pipitlatch"), kong.Description("A controller of the pipitlatch cluster scheduler."),
-		kong.Vars{"version": version}, kong.UsageOnError())
+	parser, err := newParser(&c)
+	if err != nil {
+		panic(err) // a mistake in the struct tags above
+	}
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		if _, bad := err.(badSettings); bad {
-			os.Exit(2)
-		}
-		os.Exit(1)
+		os.Exit(status(err))
 	}
 }
