--- a/internal/coordination/barrier.go
+++ b/internal/coordination/barrier.go
@@ -32,8 +32,8 @@
 // fresh calls then(true) when the replica is as new as this moment, and
 // then(false), at once where that is known, when it cannot be made so.
 func (c *Core) fresh(then func(ok bool)) {
-	if !c.synced {
-		then(false)
+	if !c.synced || c.term.Age(c.now) >= staleAfter {
+		then(false) // no news for long: waiting would only hold the answer back
 		return
 	}
 	c.waiting = append(c.waiting, barrierWait{deadline: c.now + barrierPatience, then: then})
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -49,8 +49,10 @@
 	stats    *bookkeeping.RunTimes
 	faults   *fleet.Faults
 	spot     spotLosses
+	strays   map[string]stray // machines of other holders that reported here
 	statusAt micros.Time
-	statusUp bool // send the status soon
+	statusUp bool        // send the status soon
+	okAt     micros.Time // when the state service last answered in time
 }
 
 // spotLosses counts how often spot machines are taken.
@@ -65,6 +67,16 @@
 	return float64(s.losses+1) / (micros.Seconds(s.time) + 1800)
 }
 
+// stray is a report that came to a controller that does not hold its queue.
+type stray struct {
+	at    micros.Time
+	queue int
+}
+
+// strayFor is how long a stray report counts: a worker whose holder does not
+// answer comes by within two rounds of the controllers.
+const strayFor = 8 * micros.Second
+
 type peerView struct {
 	at     micros.Time
 	status *Status
@@ -79,7 +91,8 @@
 		budget:  storage.NewBudget(cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.Nodes),
 		holders: map[int]*holder{}, ends: map[storage.Process]micros.Time{},
 		peers: map[string]*peerView{}, progress: map[string]JobProgress{},
-		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
+		strays: map[string]stray{},
+		stats:  bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
 	}
 	c.session.replica = storage.NewReplica(keys)
 	c.session.term = lease.Term{Length: cfg.Term()}
@@ -170,6 +183,9 @@
 }
 
 func (c *Core) tick() {
+	if c.stateOK() {
+		c.okAt = c.now
+	}
 	c.tickSession()
 	c.tickBarrier()
 	c.tickCatalog()
@@ -223,27 +239,67 @@
 	}, false, stateTimeout, func(*storage.Reply) { c.catalogSave = false })
 }
 
-// Healthy tells whether the controller should be sent users' requests: it is
-// not while a sibling can serve them and this one cannot. In an outage for all,
-// everybody stays and tells users when to come back: being taken out of the load
-// balancer outlasts the outage.
-func (c *Core) Healthy() bool {
-	if c.synced && c.catalog != nil && c.term.Age(c.now) < 4*micros.Second {
-		return true
-	}
-	if c.now < c.born+micros.Second {
-		return false // it may only be starting
+const (
+	// staleAfter is how old news of the state may be before it counts as out of
+	// reach: a watch comes back once a second.
+	staleAfter = 2500 * micros.Millisecond
+	// aloneAfter is how long a controller without state and siblings takes it for
+	// an outage for all.
+	aloneAfter = 6 * micros.Second
+)
+
+// stateOK tells whether this controller can serve users now.
+func (c *Core) stateOK() bool {
+	return c.synced && c.catalog != nil && c.term.Age(c.now) < staleAfter
+}
+
+// heardWithin tells whether any sibling that meets the condition has been heard
+// of late.
+func (c *Core) heardWithin(d micros.Time, cond func(*Status) bool) bool {
+	for member, p := range c.peers {
+		if member != c.proc.Member && c.now-p.at < d && cond(p.status) {
+			return true
+		}
 	}
-	for _, p := range c.peers {
-		if c.now-p.at < 2*micros.Second && p.status.StateOK {
+	return false
+}
+
+// heardFromAll tells whether every sibling has been heard of late.
+func (c *Core) heardFromAll() bool {
+	for _, s := range c.cfg.Siblings {
+		if p := c.peers[s.Member]; p == nil || c.now-p.at >= 3*micros.Second {
 			return false
 		}
 	}
 	return true
 }
 
-func (c *Core) stateOK() bool {
-	return c.synced && c.catalog != nil && c.term.Age(c.now) < 3*micros.Second
+// alone tells whether neither the state service nor any sibling has been heard of
+// late: then this controller's view may be outdated, whatever it says.
+func (c *Core) alone() bool {
+	return c.term.Age(c.now) >= staleAfter && c.now > c.born+2*micros.Second &&
+		!c.heardWithin(2*micros.Second, func(*Status) bool { return true })
+}
+
+// Healthy tells whether the controller should be sent users' requests: it is
+// not while a sibling can serve them and this one cannot. In an outage for all,
+// everybody stays and tells users when to come back: being taken out of the load
+// balancer outlasts the outage. With its siblings out of reach too, a controller
+// cannot tell an outage from its own cut. It leaves after a while: in an outage
+// that costs users seconds after its end, while in a cut those whose connections
+// stay open here would not be answered for as long as it lasts.
+func (c *Core) Healthy() bool {
+	switch {
+	case c.stateOK():
+		return true
+	case c.now < c.born+micros.Second:
+		return false // it may only be starting
+	case c.heardWithin(2*micros.Second, func(s *Status) bool { return s.StateOK }):
+		return false
+	case len(c.cfg.Siblings) == 0 || c.heardWithin(2*micros.Second, func(*Status) bool { return true }):
+		return true
+	}
+	return c.now-max(c.okAt, c.born) < aloneAfter
 }
 
 // tickStatus tells the siblings how things stand.
@@ -256,7 +312,29 @@
 		return
 	}
 	c.statusAt, c.statusUp = c.now, false
-	s := &Status{From: c.proc, Revision: c.replica.Revision, StateOK: c.stateOK()}
+	s := &Status{From: c.proc, Revision: c.replica.Revision, StateOK: c.stateOK(), Used: c.budget.Recent(), Heard: map[int]int{}}
+	for m, st := range c.strays {
+		if c.now-st.at > strayFor {
+			delete(c.strays, m)
+		} else {
+			s.Heard[st.queue]++
+		}
+	}
+	var others storage.Usage
+	for member, p := range c.peers {
+		if member == c.proc.Member {
+			continue
+		}
+		if c.now-p.at < 3*micros.Second {
+			others.Requests += p.status.Used.Requests
+			others.Writes += p.status.Used.Writes
+		}
+	}
+	if !c.heardFromAll() {
+		// What one that is not heard of uses is not known: an even share only.
+		others = storage.Usage{Requests: 1 << 40, Writes: 1 << 40}
+	}
+	c.budget.Others(others)
 	for _, n := range sortedKeys(c.holders) {
 		h := c.holders[n]
 		s.Queues = append(s.Queues, h.status())
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -31,6 +31,18 @@
 	Spot bool
 }
 
+// Compare orders offers.
+func (o Offer) Compare(p Offer) int {
+	kind := 0
+	if o.Spot != p.Spot {
+		kind = 1
+		if p.Spot {
+			kind = -1
+		}
+	}
+	return cmp.Or(cmp.Compare(o.Type, p.Type), cmp.Compare(o.Zone, p.Zone), kind)
+}
+
 // Rental is a number of machines of one offer.
 type Rental struct {
 	Offer
@@ -137,7 +149,7 @@
 				break
 			}
 			// One of each offer a turn: what the cloud has of it shows in its answer.
-			if countOf(rooms, best.Offer) >= 3 {
+			if countOf(rooms, best.Offer) >= 40 {
 				taken[best.Offer] = true
 			}
 			k := min(left, n.Each.Count(best.free))
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"pipitlatch/internal/bookkeeping"
@@ -31,9 +32,10 @@
 	calmAt   micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
-	mergedAt   micros.Time // last look at surplus machines
-	movedAt    micros.Time // last move of a replica
-	load       int64       // CPU that arrays used of late
+	mergedAt   micros.Time            // last look at surplus machines
+	movedAt    micros.Time            // last move of a replica
+	load       int64                  // CPU that arrays used of late
+	marking    map[string]micros.Time // blocks whose record of use is being written, or was: not again before
 }
 
 // job is an active job of the queue.
@@ -50,6 +52,7 @@
 	pause   micros.Time // no starts before
 	ran     micros.Time // run times of its completed tasks, added up
 	ranN    int
+	double  []*attempt // second attempts at a live task, being stopped
 }
 
 func (j *job) finished(task int) bool {
@@ -72,7 +75,7 @@
 // machine is a machine of the holder's blocks.
 type machine struct {
 	id      string
-	block   storage.BlockRecord
+	block   storage.Machine
 	version uint64 // of the block's key
 	kind    *bookkeeping.MachineType
 	addr    string
@@ -81,11 +84,18 @@
 	ack     uint64 // highest token it reported
 	known   bool   // its tasks are known, or it surely has none
 	expired bool   // its lease ran out, or its session is over: empty until it reports
-	marking bool   // the record of its use is being written
 
-	added    micros.Time
-	seen     micros.Time // last news
-	answered micros.Time // last answer that may have renewed its lease
+	added micros.Time
+	// seen is when something last showed that our messages reach it: a report
+	// alone does not, the way back may be cut.
+	seen     micros.Time
+	answered micros.Time // last answer that may have renewed its lease; 0: none
+	replied  micros.Time // last answer to a report, for seen
+	vain     int         // answers in a row that its next report showed as not received
+	top      uint64      // highest token it ever showed
+	floor    uint64      // a report up to this seq is surely not waiting for an answer
+	floorNew uint64      // the next floor, known since floorAt
+	floorAt  micros.Time
 	notice   micros.Time // when the cloud takes it; 0: no notice
 	idle     micros.Time // since when it has had no task; 0: it has
 	draining string      // why it takes no more tasks
@@ -134,8 +144,8 @@
 func newHolder(c *Core, n int, v storage.Versioned[storage.QueueRecord]) *holder {
 	h := &holder{c: c, queue: n, since: v.Version, token: v.Version, former: v.Value.Former, taken: c.now,
 		jobs: map[string]*job{}, usage: map[string]bookkeeping.Resources{}, dirty: true, lastTick: c.now,
-		calmAt: c.now}
-	for _, id := range sortedKeys(c.replica.Blocks) {
+		calmAt: c.now, marking: map[string]micros.Time{}}
+	for _, id := range sortedKeys(c.replica.Machines) {
 		h.blockChanged(id)
 	}
 	for _, id := range sortedKeys(c.replica.Jobs) {
@@ -168,10 +178,10 @@
 	for _, id := range sortedKeys(h.c.replica.Jobs) {
 		h.jobChanged(id)
 	}
-	for _, id := range sortedKeys(old.Blocks) {
+	for _, id := range sortedKeys(old.Machines) {
 		h.blockChanged(id)
 	}
-	for _, id := range sortedKeys(h.c.replica.Blocks) {
+	for _, id := range sortedKeys(h.c.replica.Machines) {
 		h.blockChanged(id)
 	}
 }
@@ -185,7 +195,7 @@
 }
 
 func (h *holder) blockChanged(id string) {
-	v, ok := h.c.replica.Blocks[id]
+	v, ok := h.c.replica.Machines[id]
 	m := h.machine(id)
 	switch {
 	case !ok || v.Value.Queue != h.queue:
@@ -321,10 +331,17 @@
 		return
 	}
 	delete(a.j.live, a.id.Task)
+	h.dirty = true
+	for i, o := range a.j.double {
+		if o.id.Task == a.id.Task && o.state != Exited {
+			a.j.double = slices.Delete(a.j.double, i, i+1)
+			a.j.live[a.id.Task] = o
+			return
+		}
+	}
 	if !a.j.finished(a.id.Task) {
 		a.j.waiting.Add(a.id.Task)
 	}
-	h.dirty = true
 }
 
 // report answers a worker.
@@ -334,13 +351,13 @@
 		c.unavailable(in.Request, "starting")
 		return
 	}
-	b, ok := c.replica.Blocks[r.Machine]
+	b, ok := c.replica.Machines[r.Machine]
 	if !ok {
 		switch l := c.replica.Leader; {
 		case c.leading():
 			c.leader.found(c, r)
 			c.unavailable(in.Request, "unknown machine")
-		case l.Version != 0 && l.Value.Member != c.proc.Member:
+		case l.Version != 0 && l.Value.Member != c.proc.Member && !c.alone():
 			c.answer(Answer{Request: in.Request, Kind: Elsewhere, Steward: l.Value.Member})
 		default:
 			c.unavailable(in.Request, "no leader")
@@ -349,8 +366,9 @@
 	}
 	h := c.holders[b.Value.Queue]
 	if h == nil {
+		c.strays[r.Machine] = stray{c.now, b.Value.Queue}
 		q, ok := c.replica.Queues[b.Value.Queue]
-		if ok && q.Value.Holder.Member != c.proc.Member && c.replica.Live(q.Value.Holder) {
+		if ok && q.Value.Holder.Member != c.proc.Member && c.replica.Live(q.Value.Holder) && !c.alone() {
 			c.answer(Answer{Request: in.Request, Kind: Elsewhere, Steward: q.Value.Holder.Member})
 		} else {
 			c.unavailable(in.Request, "no holder")
@@ -368,7 +386,8 @@
 		return
 	case !h.c.term.Valid(h.c.now):
 		// Silence past the term: a cancellation that is not seen here must end
-		// these tasks when the workers' leases run out.
+		// these tasks when the workers' leases run out. Nobody is named: what is
+		// known here of other holders is as old as the term.
 		h.c.answer(Answer{Request: in.Request, Kind: Elsewhere})
 		return
 	case r.Token > h.token:
@@ -377,9 +396,59 @@
 		h.c.answer(Answer{Request: in.Request, Kind: Elsewhere})
 		return
 	}
-	h.observe(m, r)
-	m.answered = h.c.now
-	h.c.answer(Answer{Request: in.Request, Kind: Orders, Token: h.token, Commands: h.orders(m)})
+	newer := m.newer(r)
+	if !newer && (r.Session < m.session || r.Seq <= m.floor || r.Token < m.top) {
+		// A copy of an old report, whose answer reaches nobody, or a worker that
+		// began anew: an answer must neither count nor renew a lease.
+		h.c.unavailable(in.Request, "old report")
+		return
+	}
+	if newer {
+		h.reached(m, r)
+		h.observe(m, r)
+	}
+	if m.lost() {
+		// Given up: answers would only keep its tasks alive.
+		h.c.unavailable(in.Request, "machine is given up")
+		return
+	}
+	m.answered, m.replied = h.c.now, h.c.now
+	var cmds []Command
+	if newer {
+		cmds = h.orders(m)
+	}
+	h.c.answer(Answer{Request: in.Request, Kind: Orders, Token: h.token, Commands: cmds})
+}
+
+// newer tells whether a report is newer than all that is known of the machine.
+func (m *machine) newer(r *Report) bool {
+	return r.Session > m.session || (r.Session == m.session && r.Seq > m.seq)
+}
+
+// lost tells whether the machine is given up for good: only its deletion, or the
+// end of its lease, is waited for.
+func (m *machine) lost() bool { return m.draining == "restarted" || m.draining == "unreachable" }
+
+// answerPatience is how long a worker surely does not wait for an answer any more.
+const answerPatience = 5 * micros.Second
+
+// reached notes what a newer report says of our answer to the one before. A
+// report proves nothing about the way back: a machine that reports but cannot be
+// answered must neither count as sound nor have its lease renewed by answers that
+// never arrive.
+func (h *holder) reached(m *machine, r *Report) {
+	if m.replied == 0 {
+		return
+	}
+	if r.Token < h.since || r.Session > m.session {
+		// Our answers under this lease, or in its last session, did not arrive.
+		m.answered = 0
+		m.vain++
+	} else if h.c.now-m.replied < answerPatience-1500*micros.Millisecond {
+		// It goes on at its pace and stays with us: it had our answer.
+		m.seen, m.vain, m.failed = h.c.now, 0, 0
+	}
+	m.replied = 0
 }
 
 // outranked: somebody has a higher token, so this lease is over, or about to be
@@ -424,21 +493,35 @@
 
 // observe takes a worker's report, from whichever way it came.
 func (h *holder) observe(m *machine, r *Report) {
-	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+	if !m.newer(r) {
 		return // older than what is known
 	}
+	if r.Session == m.session && r.Token < m.top && m.top >= h.since {
+		// A worker never forgets a token: this one began anew under its old name.
+		h.restarted(m)
+		return
+	}
 	if r.Session > m.session {
 		if m.session != 0 {
-			h.emptied(m) // the lease ran out: it killed and forgot all its tasks
+			// The lease ran out: it killed and forgot all its tasks. That does not make
+			// it known: a predecessor may have started others since.
+			known := m.known
+			h.emptied(m)
+			m.known = known
 		}
 		m.session = r.Session
-		h.dirty = true
-	}
-	if m.expired || h.c.now-m.seen > h.silence() {
+		m.floor, m.floorNew, m.floorAt = 0, 0, h.c.now
 		m.expired = false
 		h.dirty = true
 	}
-	m.seq, m.seen, m.failed = r.Seq, h.c.now, 0
+	if h.c.now-m.floorAt > answerPatience {
+		m.floor, m.floorNew, m.floorAt = m.floorNew, r.Seq, h.c.now
+	}
+	m.seq = r.Seq
+	m.top = max(m.top, r.Token)
+	if m.expired {
+		return // sent before its lease ran out, and late: what it shows is gone
+	}
 	if r.Address != "" {
 		m.addr = r.Address
 	}
@@ -451,6 +534,11 @@
 		return
 	}
 	m.ack = r.Token
+	if r.Token < h.since {
+		// Not an exchange under this lease: perhaps a copy of an old report, perhaps
+		// overtaken by what the predecessor still orders. It says nothing of tasks.
+		return
+	}
 	shown := make(map[AttemptID]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -462,17 +550,19 @@
 		a.shown = true
 		h.update(a, t)
 	}
-	for _, id := range sortedAttempts(m) {
-		a := m.attempts[id]
-		// A start that still waits in the outbox, or that got no answer, says nothing
-		// by its absence: taking it for not started would run the task twice.
-		if shown[id] || !a.sent || (!a.shown && a.open+a.lost > 0) {
-			continue
+	if len(m.attempts) > len(shown) {
+		for _, id := range sortedAttempts(m) {
+			a := m.attempts[id]
+			// A start that still waits in the outbox, or that got no answer, says nothing
+			// by its absence: taking it for not started would run the task twice.
+			if shown[id] || !a.sent || (!a.shown && a.open+a.lost > 0) {
+				continue
+			}
+			// Forgotten as ordered, or, if it was never shown, surely not started.
+			delete(m.attempts, id)
+			h.leave(a)
+			h.requeue(a)
 		}
-		// Forgotten as ordered, or, if it was never shown, surely not started.
-		h.leave(a)
-		h.requeue(a)
-		delete(m.attempts, id)
 	}
 	if m.ack == h.token && !m.known {
 		m.known = true
@@ -483,6 +573,15 @@
 	}
 }
 
+// restarted gives up a machine whose worker began anew within its lease: its
+// session and seq may be below what was seen, so no order of its reports can be
+// told any more. Its deletion settles what ran there.
+func (h *holder) restarted(m *machine) {
+	if !m.lost() {
+		h.drain(m, "restarted")
+	}
+}
+
 // adopt takes an attempt that this holder did not start.
 func (h *holder) adopt(m *machine, t *TaskReport) *attempt {
 	a := &attempt{id: t.AttemptID, m: m, state: t.State, made: h.c.now, sent: true}
@@ -509,8 +608,9 @@
 		return a
 	}
 	if o := a.j.live[t.Task]; o != nil {
+		// Must never happen. The task does not wait again before both have ended.
 		h.c.log(levelWarn, "task on two machines", "job", t.Job, "task", t.Task, "machine", m.id, "other", o.m.id)
-		a.j = nil
+		a.j.double = append(a.j.double, a)
 		a.stored = true
 		h.stop(a, 0)
 		return a
@@ -741,7 +841,7 @@
 // or with its process if that is known to be dead.
 func (h *holder) lastAnswer(m *machine) micros.Time {
 	last := h.taken
-	if m.version <= h.since || m.block.Used {
+	if m.block.Used {
 		for _, p := range h.former {
 			end, dead := h.c.ends[p]
 			if !dead {
@@ -778,6 +878,7 @@
 	for _, m := range slices.Clone(h.machines) {
 		h.tickMachine(m)
 	}
+	h.markUsed()
 	for _, id := range sortedKeys(h.jobs) {
 		h.store(h.jobs[id])
 	}
@@ -792,9 +893,6 @@
 	if m.kind == nil && h.c.catalog != nil {
 		m.kind = h.c.catalog[m.block.Type]
 	}
-	if m.session != 0 && m.ack == h.token && !m.block.Used {
-		h.markUsed(m)
-	}
 	up := m.session != 0 || m.block.Used
 	quiet := now - max(m.seen, h.calmAt)
 	if up && !m.expired && now > h.lastAnswer(m)+h.c.cfg.LeaseRunOut() && quiet > h.silence() {
@@ -810,10 +908,15 @@
 		switch {
 		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil:
 			h.drain(m, "silent")
-		case !m.known && m.failed > 0 && m.ack == 0 && h.mostKnown():
+		case up && m.expired && quiet > 3*h.c.cfg.LeaseRunOut():
+			// Long empty; a fault near this controller would have shown by now.
+			h.drain(m, "silent")
+		case m.vain > 2 && m.failed > 1:
+			h.drain(m, "unreachable")
+		case !m.known && m.failed > 1 && h.mostKnown():
 			// Older jobs wait for the last machine that could have their tasks: after
 			// a takeover one that does not answer, while the others do, is not waited
-			// for any longer.
+			// for any longer. Its reports may arrive: that says nothing of the way back.
 			h.drain(m, "silent")
 		case !up && m.kind != nil && now-m.added > 3*m.kind.Boot+10*micros.Second:
 			h.drain(m, "never came up")
@@ -905,19 +1008,58 @@
 	return silent > 2 && silent*3 > up
 }
 
-// markUsed writes that the machine is in use, before its first task.
-func (h *holder) markUsed(m *machine) {
-	if m.marking {
-		return
+// deaf tells whether most of the machines are silent.
+func (h *holder) deaf() bool {
+	silent, up := 0, 0
+	for _, m := range h.machines {
+		if m.session == 0 && !m.block.Used {
+			continue
+		}
+		up++
+		if h.c.now-m.seen > h.silence() && m.failed > 0 {
+			silent++
+		}
+	}
+	return silent > 2 && silent*3 > up*2
+}
+
+// markPace is how long machines that boot after others of their block wait to be
+// marked together.
+const markPace = 300 * micros.Millisecond
+
+// markUsed writes which machines are in use, before their first task, a block's
+// together.
+func (h *holder) markUsed() {
+	var marked map[string]storage.BlockRecord
+	var order []string
+	for _, m := range h.machines {
+		if m.block.Used || m.session == 0 || m.ack != h.token || m.draining != "" || h.c.now < h.marking[m.block.Block] {
+			continue
+		}
+		name := m.block.Block
+		b, ok := marked[name]
+		if !ok {
+			if b, ok = h.c.replica.Blocks[name].Value, h.c.replica.Blocks[name].Version == m.version; !ok {
+				continue
+			}
+			if marked == nil {
+				marked = map[string]storage.BlockRecord{}
+			}
+			order = append(order, name)
+		}
+		marked[name] = b.With(m.id, storage.MachineRecord{Address: m.addr, Used: true})
+	}
+	for _, name := range order {
+		h.marking[name] = h.c.now + stateTimeout + micros.Second
+		if !h.c.callState(&storage.Request{Kind: storage.Commit,
+			Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token},
+				{Key: h.c.keys.Block(name), Version: h.c.replica.Blocks[name].Version}},
+			Puts: []storage.Put{{Key: h.c.keys.Block(name), Value: storage.Encode(marked[name])}},
+		}, true, stateTimeout, func(*storage.Reply) { h.marking[name] = h.c.now + markPace }) {
+			h.marking[name] = h.c.now + markPace
+			break
+		}
 	}
-	b := m.block
-	b.Used, b.Address = true, m.addr
-	m.marking = h.c.callState(&storage.Request{Kind: storage.Commit,
-		Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token}, {Key: h.c.keys.Block(m.id), Version: m.version}},
-		Puts:       []storage.Put{{Key: h.c.keys.Block(m.id), Value: storage.Encode(b)}},
-	}, true, stateTimeout, func(r *storage.Reply) {
-		m.marking = false
-	})
 }
 
 // probe asks a machine for its report: directly, under our token once its
@@ -946,7 +1088,7 @@
 
 func (h *holder) callMachine(m *machine, batch []Command, show bool) {
 	m.calling = true
-	session, token := m.session, h.token
+	session, seq, token := m.session, m.seq, h.token
 	h.c.callWorker(WorkerCall{Machine: m.id, Address: m.addr, Token: token, Session: session, Commands: batch, Show: show,
 		Timeout: micros.Second}, func(r *WorkerReply) {
 		m.calling = false
@@ -976,6 +1118,12 @@
 			}
 			return
 		}
+		if rep := r.Report; rep.Session < session || (rep.Session == session && rep.Seq <= seq) {
+			// Its answer, given after the call, is older than what was known before it.
+			h.restarted(m)
+			return
+		}
+		m.seen, m.failed, m.vain = h.c.now, 0, 0
 		h.observe(m, r.Report)
 		if show {
 			m.probed = 0 // its session is known now: it can be told our token
@@ -998,15 +1146,15 @@
 
 // status is what the leader is told of the queue.
 func (h *holder) status() QueueStatus {
-	s := QueueStatus{Queue: h.queue, Token: h.token, Needs: h.needs}
+	s := QueueStatus{Queue: h.queue, Token: h.token, Needs: h.needs, Deaf: h.deaf()}
 	if !h.c.term.Valid(h.c.now) {
 		return s
 	}
 	for _, m := range h.machines {
-		if m.draining == "silent" && h.c.now < h.doubtUntil {
+		if m.draining == "silent" && h.c.now < h.doubtUntil && !m.expired {
 			continue
 		}
-		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || h.empty(m)) {
+		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || m.lost() || h.empty(m)) {
 			s.Release = append(s.Release, m.id)
 		} else if h.usable(m) && h.empty(m) {
 			s.Idle = append(s.Idle, m.id)
@@ -1052,7 +1200,7 @@
 // both queues get new tokens in the same transaction, so that the machine obeys
 // the new holder only, and that one only after the machine acknowledged it.
 func (c *Core) shift(s Shift) {
-	b, ok := c.replica.Blocks[s.Machine]
+	b, ok := c.replica.Machines[s.Machine]
 	h := c.holders[b.Value.Queue]
 	if !ok || h == nil || s.To == h.queue || !c.term.Valid(c.now) {
 		return
@@ -1063,13 +1211,15 @@
 		return
 	}
 	from := c.replica.Queues[h.queue]
-	rec := b.Value
-	rec.Queue = s.To
+	rest := c.replica.Blocks[b.Value.Block]
+	moved := storage.BlockRecord{Queue: s.To, Type: b.Value.Type, Zone: b.Value.Zone, Spot: b.Value.Spot}.With(m.id, b.Value.MachineRecord)
+	key := c.keys.Block(fmt.Sprintf("m%d-%s", h.token, m.id))
 	h.drain(m, "moving")
 	if !c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: c.keys.Queue(h.queue), Version: h.token}, {Key: c.keys.Queue(s.To), Version: to.Version},
-			{Key: c.keys.Block(m.id), Version: m.version}},
-		Puts: []storage.Put{{Key: c.keys.Block(m.id), Value: storage.Encode(rec)},
+			{Key: c.keys.Block(b.Value.Block), Version: rest.Version}, {Key: key}},
+		Puts: []storage.Put{{Key: key, Value: storage.Encode(moved)},
+			{Key: c.keys.Block(b.Value.Block), Value: storage.Encode(rest.Value.Without(m.id))},
 			{Key: c.keys.Queue(h.queue), Value: storage.Encode(from.Value)}, {Key: c.keys.Queue(s.To), Value: storage.Encode(to.Value)}},
 	}, false, stateTimeout, func(r *storage.Reply) {
 		// Without a clear no, the move may still happen: the machine stays drained
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -255,6 +255,7 @@
 	Needs   []fleet.Need
 	Release []string // machines to delete
 	Idle    []string // machines that could go to another queue
+	Deaf    bool     // most of its machines are silent
 }
 
 // JobProgress is what a holder knows of a job, for display elsewhere.
@@ -279,6 +280,8 @@
 	Gone     []string // machines that are surely gone
 	Shifts   []Shift
 	Progress []JobProgress
+	Used     storage.Usage // of the state service's limits
+	Heard    map[int]int   // machines, by queue, that reported here of late, and are another holder's
 }
 
 // PeerSend is a message to a sibling.
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"pipitlatch/internal/coordination/fleet"
@@ -24,12 +25,16 @@
 	deleting   map[string]bool
 	deleteCall bool
 	deleteAt   micros.Time
-	removing   map[string]bool // blocks of machines that are gone
+	removing   map[string]micros.Time // blocks that lose machines: not again before
 	gone       map[string]micros.Time
 	listing    bool
 	listAt     micros.Time
-	absent     map[string]micros.Time // blocks without a machine in the list: since when
-	adopting   map[string]bool
+	deaf       map[storage.Process]micros.Time // holders that lost their machines: when
+	absent     map[string]micros.Time          // blocks without a machine in the list: since when
+	orphans    map[string]orphan
+	adoptAt    micros.Time
+	closed     uint64                 // revision at which the last rental became a block
+	checking   map[string]micros.Time // unknown machines that are asked: not again before
 	rentAt     micros.Time
 	exhausted  *fleet.Exhausted
 	shifts     map[string][]Shift
@@ -40,8 +45,11 @@
 	l.version, l.since = c.replica.Leader.Version, c.now
 	l.assigning, l.deleteCall, l.listing = false, false, false
 	l.renting, l.retry = map[string]bool{}, map[string]micros.Time{}
-	l.deleting, l.removing, l.adopting = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	l.deleting, l.removing, l.orphans = map[string]bool{}, map[string]micros.Time{}, map[string]orphan{}
+	l.closed = c.replica.Revision
 	l.absent = map[string]micros.Time{}
+	l.checking = map[string]micros.Time{}
+	l.deaf = map[storage.Process]micros.Time{}
 	l.gone = map[string]micros.Time{}
 	l.counter = 0
 	c.log(levelInfo, "leading", "token", l.version)
@@ -74,7 +82,13 @@
 	c.listMachines()
 	c.rentMachines()
 	c.removeBlocks()
+	c.adoptMachines()
 	c.shiftBlocks()
+	for _, m := range sortedKeys(l.checking) {
+		if c.now >= l.checking[m] {
+			delete(l.checking, m)
+		}
+	}
 }
 
 // assignQueues leases queues without a live holder. A holder that is registered
@@ -90,7 +104,7 @@
 		heard := v != nil && v.status.From == p && c.now-v.at < 6*micros.Second
 		return !heard && c.now-l.since > 6*micros.Second
 	}
-	todo := lease.Assign(c.replica, c.queues(), c.proc, mute)
+	todo := lease.Assign(c.replica, c.queues(), c.proc, func(p storage.Process) bool { return mute(p) || c.cutOff(p) })
 	if len(todo) == 0 {
 		return
 	}
@@ -111,6 +125,46 @@
 	})
 }
 
+// deafFor is how long a controller that could not hear its machines is given no
+// queue.
+const deafFor = 30 * micros.Second
+
+// cutOff tells whether a controller has lost its machines, but not the state
+// service, while others hear them: its queues go to one of those.
+func (c *Core) cutOff(p storage.Process) bool {
+	l := &c.leader
+	if at, ok := l.deaf[p]; ok && c.now-at < deafFor {
+		return true
+	}
+	v := c.peers[p.Member]
+	if v == nil || v.status.From != p || c.now-v.at > 3*micros.Second {
+		return false
+	}
+	for _, q := range v.status.Queues {
+		if !q.Deaf || c.replica.Queues[q.Queue].Value.Holder != p {
+			continue
+		}
+		machines := 0
+		for _, m := range c.replica.Machines {
+			if m.Value.Queue == q.Queue && m.Value.Used {
+				machines++
+			}
+		}
+		heard := 0
+		for _, o := range c.peers {
+			if o.status.From != p && c.now-o.at < 3*micros.Second {
+				heard = max(heard, o.status.Heard[q.Queue])
+			}
+		}
+		if heard*4 > machines {
+			c.log(levelInfo, "holder is cut off from its machines", "holder", p.Member, "queue", q.Queue, "machines", machines, "heard", heard)
+			l.deaf[p] = c.now
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) queues() int {
 	n := 1
 	for _, t := range c.teams {
@@ -152,7 +206,7 @@
 	}
 	for _, q := range c.statuses() {
 		for _, m := range q.Release {
-			if b, ok := c.replica.Blocks[m]; ok && b.Value.Queue == q.Queue {
+			if b, ok := c.replica.Machines[m]; ok && b.Value.Queue == q.Queue {
 				add(m)
 			}
 		}
@@ -191,56 +245,122 @@
 	}
 }
 
-// removeBlocks removes the records of machines that are gone.
+// removeBlocks removes machines that are gone from their blocks' records.
 func (c *Core) removeBlocks() {
 	l := &c.leader
-	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader()}}
-	var names []string
+	gone := map[string][]string{} // by block
 	for _, m := range sortedKeys(l.gone) {
-		if _, ok := c.replica.Blocks[m]; !ok {
-			if c.now-l.gone[m] > 60*micros.Second {
-				delete(l.gone, m)
-			}
+		if b, ok := c.replica.Machines[m]; ok {
+			gone[b.Value.Block] = append(gone[b.Value.Block], m)
+		} else if c.now-l.gone[m] > goneFor {
+			delete(l.gone, m)
+		}
+	}
+	for _, name := range sortedKeys(gone) {
+		if c.now < l.removing[name] {
 			continue
 		}
-		if !l.removing[m] && len(r.Deletes) < c.cfg.Settings.State.TxnOps {
-			r.Deletes = append(r.Deletes, c.keys.Block(m))
-			names = append(names, m)
+		b := c.replica.Blocks[name]
+		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: c.keys.Block(name), Version: b.Version}}}
+		if rest := b.Value.Without(gone[name]...); len(rest.Machines) == 0 && rest.Want == 0 {
+			r.Deletes = append(r.Deletes, c.keys.Block(name))
+		} else {
+			r.Puts = append(r.Puts, storage.Put{Key: c.keys.Block(name), Value: storage.Encode(rest)})
+		}
+		l.removing[name] = c.now + stateTimeout + micros.Second
+		if !c.callState(r, false, stateTimeout, func(*storage.Reply) { l.removing[name] = c.now + 500*micros.Millisecond }) {
+			delete(l.removing, name)
+			return
 		}
 	}
-	if len(names) == 0 || !c.callState(r, false, stateTimeout, func(*storage.Reply) {
-		for _, m := range names {
-			delete(l.removing, m)
+}
+
+// goneFor is how long a machine that is gone is remembered after its record went:
+// late copies of its reports, and lists, may still show it.
+const goneFor = 300 * micros.Second
+
+// maxChecks bounds the unknown machines asked at once.
+const maxChecks = 32
+
+// found takes a machine that reports and has no block: a rental executed late, or
+// one whose answer was lost. The report may be a late copy from a machine that was
+// deleted, or its way back may be cut: it is adopted only after it was asked.
+func (l *leaderState) found(c *Core, r *Report) {
+	if _, gone := l.gone[r.Machine]; gone || r.Address == "" || len(l.checking) >= maxChecks || c.now < l.checking[r.Machine] {
+		return
+	}
+	l.checking[r.Machine] = c.now + 2*micros.Second
+	version := l.version
+	c.callWorker(WorkerCall{Machine: r.Machine, Address: r.Address, Show: true, Timeout: micros.Second}, func(reply *WorkerReply) {
+		if l.version != version {
+			return
 		}
-	}) {
+		if s := reply.Report; s == nil || s.Machine != r.Machine || s.Session < r.Session || (s.Session == r.Session && s.Seq <= r.Seq) {
+			return
+		}
+		c.adoptMachine(r.Machine, r.Address, fleet.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
+	})
+}
+
+// adoptMachine notes a machine that is to be assigned to the queue with the
+// greatest need. It has had no task: only machines of a block get any, and they
+// leave it only when they are gone.
+func (c *Core) adoptMachine(id, address string, o fleet.Offer) {
+	l := &c.leader
+	if _, gone := l.gone[id]; gone || !c.leading() || l.version != c.replica.Leader.Version {
 		return
 	}
-	for _, m := range names {
-		l.removing[m] = true
+	if _, known := c.replica.Machines[id]; !known {
+		l.orphans[id] = orphan{o, address}
 	}
 }
 
-// found takes a machine that reports, or is listed, and has no block: a rental
-// executed late, or one whose answer was lost.
-func (l *leaderState) found(c *Core, r *Report) {
-	c.adoptMachine(r.Machine, storage.BlockRecord{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Address: r.Address, Used: true})
+// orphan is a machine without a block.
+type orphan struct {
+	fleet.Offer
+	address string
 }
 
-// adoptMachine assigns a machine to the queue with the greatest need. Its record
-// says that it is used: it may have had tasks under a block that was removed.
-func (c *Core) adoptMachine(id string, b storage.BlockRecord) {
+// adoptPace lets machines found one after the other share a block.
+const adoptPace = 500 * micros.Millisecond
+
+// adoptMachines makes blocks of the machines found.
+func (c *Core) adoptMachines() {
 	l := &c.leader
-	if _, gone := l.gone[id]; gone || l.adopting[id] || !c.leading() || l.version != c.replica.Leader.Version {
+	if len(l.orphans) == 0 || c.now < l.adoptAt {
 		return
 	}
-	b.Queue = c.neediest()
-	key := c.keys.Block(id)
-	if c.callState(&storage.Request{Kind: storage.Commit,
-		Conditions: []storage.Condition{c.asLeader(), {Key: key}},
-		Puts:       []storage.Put{{Key: key, Value: storage.Encode(b)}},
-	}, false, stateTimeout, func(*storage.Reply) { delete(l.adopting, id) }) {
-		l.adopting[id] = true
-		c.log(levelInfo, "machine adopted", "machine", id, "queue", b.Queue)
+	l.adoptAt = c.now + adoptPace
+	blocks := map[fleet.Offer]storage.BlockRecord{}
+	for _, id := range sortedKeys(l.orphans) {
+		o := l.orphans[id]
+		_, known := c.replica.Machines[id]
+		_, gone := l.gone[id]
+		if known || gone {
+			delete(l.orphans, id)
+			continue
+		}
+		b, ok := blocks[o.Offer]
+		if !ok {
+			b = storage.BlockRecord{Queue: c.neediest(), Type: o.Type, Zone: o.Zone, Spot: o.Spot}
+		}
+		if len(b.Machines) < storage.MaxBlock {
+			blocks[o.Offer] = b.With(id, storage.MachineRecord{Address: o.address})
+		}
+	}
+	for _, o := range slices.SortedFunc(maps.Keys(blocks), fleet.Offer.Compare) {
+		b := blocks[o]
+		l.counter++
+		key := c.keys.Block(fmt.Sprintf("a%d-%d", l.version, l.counter))
+		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key}},
+			Puts: []storage.Put{{Key: key, Value: storage.Encode(b)}}}
+		l.adoptAt = c.now + stateTimeout + micros.Second
+		c.log(levelInfo, "machines adopted", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", len(b.Machines), "queue", b.Queue)
+		// One at a time: a machine must not come into two blocks.
+		if !c.callState(r, true, stateTimeout, func(*storage.Reply) { l.adoptAt = c.now + adoptPace }) {
+			l.adoptAt = c.now + adoptPace
+		}
+		return
 	}
 }
 
@@ -286,7 +406,7 @@
 			if _, gone := l.gone[m.Machine]; gone {
 				continue
 			}
-			b, known := c.replica.Blocks[m.Machine]
+			b, known := c.replica.Machines[m.Machine]
 			switch {
 			case m.Failed:
 				if !l.deleting[m.Machine] {
@@ -294,7 +414,7 @@
 					c.log(levelInfo, "machine failed", "machine", m.Machine)
 				}
 			case !known && c.now-l.since > micros.Second && m.Age > 2*micros.Second:
-				c.adoptMachine(m.Machine, storage.BlockRecord{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Address: m.Address, Used: m.Running})
+				c.adoptMachine(m.Machine, m.Address, fleet.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot})
 			case known:
 				if h := c.holders[b.Value.Queue]; h != nil && m.Address != "" {
 					if hm := h.machine(m.Machine); hm != nil && hm.addr == "" && m.Running {
@@ -309,7 +429,7 @@
 		}
 		l.listing = false
 		lag := micros.FromSeconds(c.cfg.Settings.Cloud.ListLagS)
-		for _, id := range sortedKeys(c.replica.Blocks) {
+		for _, id := range sortedKeys(c.replica.Machines) {
 			if seen[id] {
 				delete(l.absent, id)
 			} else if _, ok := l.absent[id]; !ok {
@@ -323,30 +443,37 @@
 			}
 		}
 		for id := range l.absent {
-			if _, ok := c.replica.Blocks[id]; !ok {
+			if _, ok := c.replica.Machines[id]; !ok {
 				delete(l.absent, id)
 			}
 		}
 	})
 }
 
-func b0(c *Core, id string) int { return c.replica.Blocks[id].Value.Queue }
+func b0(c *Core, id string) int { return c.replica.Machines[id].Value.Queue }
+
+// maxRound bounds the machines rented for one look at the needs.
+const maxRound = 200
 
 // rentMachines rents for the queues' needs, one round at a time: the next round
 // looks at what the last one brought.
 func (c *Core) rentMachines() {
 	l := &c.leader
-	for _, ch := range sortedKeys(c.replica.Charters) {
-		if !l.renting[ch] && c.now >= l.retry[ch] {
-			c.sendCharter(ch, c.replica.Charters[ch].Value)
+	open := 0
+	for _, name := range sortedKeys(c.replica.Blocks) {
+		if b := c.replica.Blocks[name]; b.Value.Want > 0 {
+			open++
+			if !l.renting[name] && c.now >= l.retry[name] {
+				c.rent(name, b.Value, b.Version)
+			}
 		}
 	}
-	if len(c.replica.Charters) > 0 || len(l.renting) > 0 || c.catalog == nil || c.now < l.rentAt || c.now-l.since < 500*micros.Millisecond {
+	if open > 0 || len(l.renting) > 0 || c.catalog == nil || c.now < l.rentAt || c.now-l.since < 500*micros.Millisecond {
 		return
 	}
 	for _, p := range c.peers {
-		if len(p.status.Queues) > 0 && p.status.Revision < l.rentedRevision(c) {
-			return
+		if len(p.status.Queues) > 0 && p.status.Revision < l.closed {
+			return // its needs are from before the last round
 		}
 	}
 	statuses := c.statuses()
@@ -364,100 +491,91 @@
 			c.log(levelDebug, "need", "queue", q.Queue, "count", n.Count, "cpu", n.Each.CPU, "service", n.Service, "urgent", n.Urgent)
 		}
 		exhausted := func(o fleet.Offer) bool { return l.exhausted.Now(o, c.now) }
-		for _, r := range fleet.Choose(needs, c.catalog, exhausted, 20) {
-			c.charter(q.Queue, r)
+		for _, r := range fleet.Choose(needs, c.catalog, exhausted, maxRound/max(1, len(statuses))) {
+			for r.Count > 0 {
+				part := r
+				part.Count = min(r.Count, storage.MaxBlock)
+				c.charter(q.Queue, part)
+				r.Count -= part.Count
+			}
 		}
 	}
 	l.rentAt = c.now + 700*micros.Millisecond
 }
 
-// rentedRevision is the revision a holder must have seen to know of all rented
-// machines.
-func (l *leaderState) rentedRevision(c *Core) uint64 {
-	var v uint64
-	for _, b := range c.replica.Blocks {
-		v = max(v, b.Version)
-	}
-	return v
-}
-
-// charter writes a rental down before it is sent, so that a successor neither
-// loses it nor rents the same need twice.
+// charter writes a rental down before it is sent, as a block without machines, so
+// that a successor neither loses it nor rents the same need twice.
 func (c *Core) charter(queue int, r fleet.Rental) {
 	l := &c.leader
 	l.counter++
 	name := fmt.Sprintf("c%d-%d", l.version, l.counter)
-	rec := storage.CharterRecord{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(50, r.Count), Queue: queue, At: c.wall}
-	key := c.keys.Charter(name)
+	rec := storage.BlockRecord{Queue: queue, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Want: r.Count}
+	key := c.keys.Block(name)
 	if c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{c.asLeader(), {Key: key}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(rec)}},
-	}, false, stateTimeout, func(reply *storage.Reply) {
+	}, true, stateTimeout, func(reply *storage.Reply) {
 		delete(l.renting, name)
 		if reply.Outcome == storage.OK {
-			c.sendCharter(name, rec)
+			c.rent(name, rec, reply.Revision)
 		}
 	}) {
 		l.renting[name] = true
 	}
 }
 
-func (c *Core) sendCharter(name string, rec storage.CharterRecord) {
+// rent sends a rental that was written down.
+func (c *Core) rent(name string, rec storage.BlockRecord, version uint64) {
 	l := &c.leader
 	l.renting[name] = true
 	offer := fleet.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
-	c.callCloud(CloudCall{Kind: CloudRent, Charter: name, Rental: fleet.Rental{Offer: offer, Count: rec.Count}, Timeout: 4 * micros.Second}, func(r *CloudReply) {
+	c.callCloud(CloudCall{Kind: CloudRent, Charter: name, Rental: fleet.Rental{Offer: offer, Count: rec.Want}, Timeout: 4 * micros.Second}, func(r *CloudReply) {
 		delete(l.renting, name)
 		switch r.Outcome {
 		case CloudOK, CloudNoCapacity:
-			if len(r.Names) < rec.Count {
+			if len(r.Names) < rec.Want {
 				l.exhausted.Refuse(offer, c.now)
 			} else {
 				l.exhausted.Grant(offer)
 			}
-			c.log(levelInfo, "rented", "charter", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "asked", rec.Count, "got", len(r.Names))
-			c.closeCharter(name, rec, r.Names)
+			c.log(levelInfo, "rented", "charter", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "asked", rec.Want, "got", len(r.Names))
+			c.closeCharter(name, rec, version, r.Names)
 		default:
 			l.retry[name] = c.now + micros.Second
 		}
 	})
 }
 
-// closeCharter turns a rental into blocks. Machines that do not fit into one
-// transaction come first, the charter's end last.
-func (c *Core) closeCharter(name string, rec storage.CharterRecord, machines []string) {
+// closeCharter turns a rental into a block.
+func (c *Core) closeCharter(name string, rec storage.BlockRecord, version uint64, machines []string) {
 	l := &c.leader
-	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader()}}
-	var rest []string
+	rec.Want, rec.Machines = 0, map[string]storage.MachineRecord{}
 	for _, m := range machines {
-		if _, known := c.replica.Blocks[m]; known {
-			continue
-		}
-		if len(r.Puts) >= c.cfg.Settings.State.TxnOps-1 {
-			rest = append(rest, m)
-			continue
+		// One that reported before the answer came was adopted already.
+		if _, known := c.replica.Machines[m]; !known {
+			rec.Machines[m] = storage.MachineRecord{}
 		}
-		key := c.keys.Block(m)
-		r.Conditions = append(r.Conditions, storage.Condition{Key: key})
-		r.Puts = append(r.Puts, storage.Put{Key: key, Value: storage.Encode(storage.BlockRecord{Queue: rec.Queue, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot})})
 	}
-	if len(rest) == 0 {
-		r.Deletes = append(r.Deletes, c.keys.Charter(name))
+	key := c.keys.Block(name)
+	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key, Version: version}}}
+	if len(rec.Machines) == 0 {
+		r.Deletes = []string{key}
+	} else {
+		r.Puts = []storage.Put{{Key: key, Value: storage.Encode(rec)}}
 	}
+	l.renting[name] = true
 	again := func() {
 		delete(l.renting, name)
-		l.retry[name] = c.now + 500*micros.Millisecond // the same charter gives the same answer
+		l.retry[name] = c.now + 500*micros.Millisecond // the same name gives the same answer
 	}
 	if !c.callState(r, true, stateTimeout, func(reply *storage.Reply) {
 		again()
-		if reply.Outcome == storage.OK && len(rest) > 0 {
-			c.closeCharter(name, rec, rest)
+		if reply.Outcome == storage.OK {
+			l.closed = max(l.closed, reply.Revision)
 		}
 	}) {
 		again()
-		return
 	}
-	l.renting[name] = true
 }
 
 // shiftBlocks moves idle machines of one queue to another that needs them.
@@ -477,7 +595,7 @@
 				continue
 			}
 			for _, m := range q.Idle {
-				b, ok := c.replica.Blocks[m]
+				b, ok := c.replica.Machines[m]
 				if !ok || (b.Value.Spot && !slices.ContainsFunc(needy.Needs, func(n fleet.Need) bool { return n.Spot })) {
 					continue
 				}
--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"container/heap"
 	"math"
 
 	"pipitlatch/internal/bookkeeping"
@@ -91,7 +92,8 @@
 	return t + lost*(Tardiness(w, finish+length/2, due)-t)
 }
 
-// tie is the grain of time within which two gaps count as equally early.
+// tie is the grain of time within which two gaps count as equally early: a grid,
+// so that the order of gaps is a strict one.
 const tie = 250 * micros.Millisecond
 
 // better tells whether a is the better gap for the job: the least total weighted
@@ -105,8 +107,8 @@
 	if a.slot.Tardiness != b.slot.Tardiness {
 		return a.slot.Tardiness < b.slot.Tardiness
 	}
-	if d := a.ready - b.ready; d < -tie || d > tie {
-		return d < 0
+	if ar, br := a.ready/tie, b.ready/tie; ar != br {
+		return ar < br
 	}
 	am, bm := a.slot.Machine, b.slot.Machine
 	if j.Kind == bookkeeping.Service {
@@ -123,31 +125,46 @@
 	return am.Key < bm.Key
 }
 
+// candidates is a heap of the machines' best gaps for one job, the best on top.
+type candidates struct {
+	job  *bookkeeping.Job
+	list []candidate
+}
+
+func (h *candidates) Len() int           { return len(h.list) }
+func (h *candidates) Less(i, j int) bool { return better(h.job, h.list[i], h.list[j]) }
+func (h *candidates) Swap(i, j int)      { h.list[i], h.list[j] = h.list[j], h.list[i] }
+func (h *candidates) Push(x any)         { h.list = append(h.list, x.(candidate)) }
+func (h *candidates) Pop() any {
+	last := len(h.list) - 1
+	x := h.list[last]
+	h.list = h.list[:last]
+	return x
+}
+
 // Place finds a slot for one task after the other and reserves it. It ends when
-// a task has no gap anywhere: the rest wait in index order.
+// a task has no gap anywhere: the rest wait in index order. A task's slot changes
+// the gaps of one machine only, so only that one is looked at again.
 func Place(r *Request, machines []*Machine, out func(Slot)) int {
-	cands := make([]candidate, len(machines))
-	for i, m := range machines {
-		cands[i] = r.candidate(m)
+	if r.Count <= 0 {
+		return 0
 	}
+	h := &candidates{job: r.Job, list: make([]candidate, 0, len(machines))}
+	for _, m := range machines {
+		if c := r.candidate(m); c.ok {
+			h.list = append(h.list, c)
+		}
+	}
+	heap.Init(h)
 	placed := 0
 	limit := r.Job.SpreadLimit()
-	for ; placed < r.Count; placed++ {
-		best := -1
-		for i := range cands {
-			if !cands[i].ok || (r.Zone != "" && machines[i].Zone != r.Zone) ||
-				(r.Job.Spread && r.InZone[machines[i].Zone] >= limit) {
-				continue
-			}
-			if best < 0 || better(r.Job, cands[i], cands[best]) {
-				best = i
-			}
+	for placed < r.Count && len(h.list) > 0 {
+		c := h.list[0]
+		m := c.slot.Machine
+		if (r.Zone != "" && m.Zone != r.Zone) || (r.Job.Spread && r.InZone[m.Zone] >= limit) {
+			heap.Pop(h) // the job's tasks placed so far leave it no room there
+			continue
 		}
-		if best < 0 {
-			break
-		}
-		c := cands[best]
-		m := machines[best]
 		m.Line.Reserve(r.Job.Need, c.slot.Start, c.slot.Length)
 		if r.Job.Kind == bookkeeping.Service {
 			m.Services++
@@ -159,7 +176,12 @@
 			r.Zone = m.Zone
 		}
 		out(c.slot)
-		cands[best] = r.candidate(m)
+		placed++
+		if h.list[0] = r.candidate(m); h.list[0].ok {
+			heap.Fix(h, 0)
+		} else {
+			heap.Pop(h)
+		}
 	}
 	return placed
 }
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -17,7 +17,7 @@
 	// running tasks run out, and slots come due.
 	planAnyway = 1000 * micros.Millisecond
 	// planTasks bounds the tasks placed in one plan; the rest wait in index order.
-	planTasks = 400
+	planTasks = 2000
 )
 
 // ranked is a job with its place in the order.
@@ -370,9 +370,6 @@
 	allowed := h.allowance(j)
 	waiting := j.waiting.Len()
 	count := min(waiting, allowed, *left)
-	if count <= 0 {
-		return nil
-	}
 	tardy := 0
 	boot := micros.Max
 	for _, t := range h.c.catalog {
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -196,7 +196,9 @@
 		}
 	case "block":
 		for _, n := range sortedKeys(c.holders) {
-			c.holders[n].blockChanged(ch.ID)
+			for _, m := range ch.Machines {
+				c.holders[n].blockChanged(m)
+			}
 		}
 	case "job", "fin":
 		for _, n := range sortedKeys(c.holders) {
@@ -236,11 +238,16 @@
 }
 
 func (c *Core) tickCampaign() {
-	if !c.synced || c.permit == 0 || c.campaignCall || c.now < c.campaignAt || !c.replica.Live(c.proc) || c.replica.Leader.Version != 0 {
+	if !c.synced || c.permit == 0 || c.campaignCall || c.now < c.campaignAt || !c.replica.Live(c.proc) {
+		return
+	}
+	// The key of a leader whose member runs a newer process stays until its permit
+	// ends: that process is surely dead, so its key can be taken over at once.
+	if l := c.replica.Leader; l.Version != 0 && !c.replica.Dead(l.Value) {
 		return
 	}
 	c.campaignCall = c.callState(&storage.Request{Kind: storage.Commit,
-		Conditions: []storage.Condition{{Key: c.keys.Leader(), Version: 0}},
+		Conditions: []storage.Condition{{Key: c.keys.Leader(), Version: c.replica.Leader.Version}},
 		Puts:       []storage.Put{{Key: c.keys.Leader(), Value: storage.Encode(c.proc), Lease: c.permit}},
 	}, true, stateTimeout, func(r *storage.Reply) {
 		c.campaignCall = false
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -78,8 +78,8 @@
 		c.viewOr(req, id, func() { c.answer(Answer{Request: req, Kind: Malformed, Text: in.Fault}) })
 		return
 	}
-	if !c.synced || c.catalog == nil {
-		c.unavailable(req, "starting")
+	if !c.stateOK() {
+		c.unavailable(req, "the state service does not answer")
 		return
 	}
 	if why := c.impossible(in.Job); why != "" {
--- a/internal/protocol/siblings.go
+++ b/internal/protocol/siblings.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	flatbuffers "github.com/google/flatbuffers/go"
 
@@ -62,6 +64,7 @@
 		wire.QueueStatusAddNeeds(b, nv)
 		wire.QueueStatusAddRelease(b, release)
 		wire.QueueStatusAddIdle(b, idle)
+		wire.QueueStatusAddDeaf(b, q.Deaf)
 		queues = append(queues, wire.QueueStatusEnd(b))
 	}
 	for _, sh := range s.Shifts {
@@ -79,6 +82,14 @@
 		wire.ProgressAddRunning(b, int32(p.Running))
 		progress = append(progress, wire.ProgressEnd(b))
 	}
+	var heard []flatbuffers.UOffsetT
+	for _, n := range slices.Sorted(maps.Keys(s.Heard)) {
+		wire.QueueCountStart(b)
+		wire.QueueCountAddQueue(b, int32(n))
+		wire.QueueCountAddCount(b, int32(s.Heard[n]))
+		heard = append(heard, wire.QueueCountEnd(b))
+	}
+	hv := vector(b, heard)
 	qv, gone, sv, pv := vector(b, queues), strings(b, s.Gone), vector(b, shifts), vector(b, progress)
 	member, inc := b.CreateString(s.From.Member), b.CreateString(s.From.Incarnation)
 	wire.StatusStart(b)
@@ -90,6 +101,9 @@
 	wire.StatusAddGone(b, gone)
 	wire.StatusAddShifts(b, sv)
 	wire.StatusAddProgress(b, pv)
+	wire.StatusAddRequests(b, s.Used.Requests)
+	wire.StatusAddWrites(b, s.Used.Writes)
+	wire.StatusAddHeard(b, hv)
 	b.Finish(wire.StatusEnd(b))
 	return b.FinishedBytes()
 }
@@ -115,12 +129,18 @@
 	}
 	w := wire.GetRootAsStatus(raw, 0)
 	s = &coordination.Status{From: storage.Process{Member: string(w.Member()), Incarnation: string(w.Incarnation())},
-		Revision: w.Revision(), StateOK: w.StateOk(), Gone: stringList(w.GoneLength(), w.Gone)}
+		Revision: w.Revision(), StateOK: w.StateOk(), Gone: stringList(w.GoneLength(), w.Gone),
+		Used: storage.Usage{Requests: w.Requests(), Writes: w.Writes()}, Heard: map[int]int{}}
+	for i := range w.HeardLength() {
+		var n wire.QueueCount
+		w.Heard(&n, i)
+		s.Heard[int(n.Queue())] = int(n.Count())
+	}
 	for i := range w.QueuesLength() {
 		var q wire.QueueStatus
 		w.Queues(&q, i)
 		out := coordination.QueueStatus{Queue: int(q.Queue()), Token: q.Token(),
-			Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle)}
+			Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle), Deaf: q.Deaf()}
 		for k := range q.NeedsLength() {
 			var n wire.Need
 			q.Needs(&n, k)
--- a/internal/protocol/wire/QueueStatus.go
+++ b/internal/protocol/wire/QueueStatus.go
@@ -111,8 +111,20 @@
 	return 0
 }
 
+func (rcv *QueueStatus) Deaf() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *QueueStatus) MutateDeaf(n bool) bool {
+	return rcv._tab.MutateBoolSlot(14, n)
+}
+
 func QueueStatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(6)
 }
 func QueueStatusAddQueue(builder *flatbuffers.Builder, queue int32) {
 	builder.PrependInt32Slot(0, queue, 0)
@@ -138,6 +150,9 @@
 func QueueStatusStartIdleVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func QueueStatusAddDeaf(builder *flatbuffers.Builder, deaf bool) {
+	builder.PrependBoolSlot(5, deaf, false)
+}
 func QueueStatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/protocol/wire/Status.go
+++ b/internal/protocol/wire/Status.go
@@ -150,8 +150,52 @@
 	return 0
 }
 
+func (rcv *Status) Requests() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Status) MutateRequests(n int64) bool {
+	return rcv._tab.MutateInt64Slot(20, n)
+}
+
+func (rcv *Status) Writes() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Status) MutateWrites(n int64) bool {
+	return rcv._tab.MutateInt64Slot(22, n)
+}
+
+func (rcv *Status) Heard(obj *QueueCount, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Status) HeardLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func StatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(8)
+	builder.StartObject(11)
 }
 func StatusAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -189,6 +233,18 @@
 func StatusStartProgressVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func StatusAddRequests(builder *flatbuffers.Builder, requests int64) {
+	builder.PrependInt64Slot(8, requests, 0)
+}
+func StatusAddWrites(builder *flatbuffers.Builder, writes int64) {
+	builder.PrependInt64Slot(9, writes, 0)
+}
+func StatusAddHeard(builder *flatbuffers.Builder, heard flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(heard), 0)
+}
+func StatusStartHeardVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func StatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
 
 	"pipitlatch/internal/bookkeeping"
-	"pipitlatch/internal/micros"
 )
 
 // Process names one run of a controller's process.
@@ -25,25 +25,37 @@
 	Former []Process `json:"f,omitempty"`
 }
 
-// BlockRecord assigns a machine to a queue. Used is set, by the holder, before
-// the first task is started there: an unused machine surely has no tasks.
+// BlockRecord is a group of machines of one offer, rented at once, and the queue
+// it belongs to. It is written before the rental is requested, with Want set and
+// no machines: its name is the name of the request.
 type BlockRecord struct {
-	Queue   int    `json:"q"`
-	Type    string `json:"t"`
-	Zone    string `json:"z"`
-	Spot    bool   `json:"s,omitempty"`
+	Queue    int                      `json:"q"`
+	Type     string                   `json:"t"`
+	Zone     string                   `json:"z"`
+	Spot     bool                     `json:"s,omitempty"`
+	Want     int                      `json:"n,omitempty"` // machines requested, until the answer is written
+	Machines map[string]MachineRecord `json:"m,omitempty"`
+}
+
+// MaxBlock is how many machines a block has at most: the cloud rents no more at
+// once, and the record stays well below the value limits in use.
+const MaxBlock = 50
+
+// MachineRecord is a machine of a block. Used is set, by the holder, before the
+// first task is started there: an unused machine surely has no tasks.
+type MachineRecord struct {
 	Address string `json:"a,omitempty"`
 	Used    bool   `json:"u,omitempty"`
 }
 
-// CharterRecord is a rental written down before it is requested.
-type CharterRecord struct {
-	Type  string      `json:"t"`
-	Zone  string      `json:"z"`
-	Spot  bool        `json:"s,omitempty"`
-	Count int         `json:"n"`
-	Queue int         `json:"q"`
-	At    micros.Time `json:"at"`
+// Machine is a machine as its block's record tells it; its version is the block's.
+type Machine struct {
+	MachineRecord
+	Block string
+	Queue int
+	Type  string
+	Zone  string
+	Spot  bool
 }
 
 // Versioned is a record with the version of its key.
@@ -69,8 +81,7 @@
 func (k Keys) Catalog() string            { return k.Prefix + "catalog" }
 func (k Keys) Node(m string) string       { return k.Prefix + "node/" + m }
 func (k Keys) Queue(n int) string         { return k.Prefix + "queue/" + strconv.Itoa(n) }
-func (k Keys) Block(m string) string      { return k.Prefix + "block/" + m }
-func (k Keys) Charter(r string) string    { return k.Prefix + "charter/" + r }
+func (k Keys) Block(name string) string   { return k.Prefix + "block/" + name }
 func (k Keys) Job(id string) string       { return k.Prefix + "job/" + id }
 func (k Keys) FinPrefix(id string) string { return k.Prefix + "fin/" + id + "/" }
 func (k Keys) Fin(id string, chunk int) string {
@@ -79,8 +90,9 @@
 
 // Change tells what an event touched: the part of the key below the prefix.
 type Change struct {
-	Kind string // leader, catalog, node, queue, block, charter, job, fin
-	ID   string
+	Kind     string // leader, catalog, node, queue, block, job, fin
+	ID       string
+	Machines []string // block: the machines it has, and had before
 }
 
 // Replica is a controller's copy of the state, built from one list and one
@@ -92,8 +104,8 @@
 	Catalog  Versioned[bookkeeping.Catalog]
 	Nodes    map[string]Versioned[Process]
 	Queues   map[int]Versioned[QueueRecord]
-	Blocks   map[string]Versioned[BlockRecord]
-	Charters map[string]Versioned[CharterRecord]
+	Blocks   map[string]Versioned[BlockRecord] // by name
+	Machines map[string]Versioned[Machine]     // of all blocks
 	Jobs     map[string]*JobEntry
 	orphans  map[string]map[int]Item // finished ranges listed before their job
 }
@@ -101,7 +113,7 @@
 // NewReplica returns an empty replica.
 func NewReplica(k Keys) *Replica {
 	return &Replica{Keys: k, Nodes: map[string]Versioned[Process]{}, Queues: map[int]Versioned[QueueRecord]{},
-		Blocks: map[string]Versioned[BlockRecord]{}, Charters: map[string]Versioned[CharterRecord]{},
+		Blocks: map[string]Versioned[BlockRecord]{}, Machines: map[string]Versioned[Machine]{},
 		Jobs: map[string]*JobEntry{}, orphans: map[string]map[int]Item{}}
 }
 
@@ -167,9 +179,7 @@
 			changed, err = applyTo(r.Queues, n, it)
 		}
 	case "block":
-		changed, err = applyTo(r.Blocks, id, it)
-	case "charter":
-		changed, err = applyTo(r.Charters, id, it)
+		c.Machines, changed, err = r.applyBlock(id, it)
 	case "job":
 		changed, err = r.applyJob(id, it)
 	case "fin":
@@ -186,6 +196,51 @@
 	return c, changed, err
 }
 
+// applyBlock takes a block's record and tells which machines it touched.
+func (r *Replica) applyBlock(name string, it Item) ([]string, bool, error) {
+	old := r.Blocks[name].Value.Machines
+	changed, err := applyTo(r.Blocks, name, it)
+	if !changed {
+		return nil, false, err
+	}
+	var touched []string
+	b := r.Blocks[name].Value // the zero record if it was deleted
+	for m := range old {
+		// A move to another block is one transaction: the other record may have
+		// come first, and owns the machine then.
+		if _, ok := b.Machines[m]; !ok && r.Machines[m].Value.Block == name {
+			delete(r.Machines, m)
+			touched = append(touched, m)
+		}
+	}
+	for m, rec := range b.Machines {
+		r.Machines[m] = Versioned[Machine]{Machine{rec, name, b.Queue, b.Type, b.Zone, b.Spot}, it.Version}
+		touched = append(touched, m)
+	}
+	slices.Sort(touched)
+	return touched, true, nil
+}
+
+// With is the record with a machine set, Without the record without some: records
+// are shared, so they are copied before a change.
+func (b BlockRecord) With(m string, rec MachineRecord) BlockRecord {
+	b.Machines = maps.Clone(b.Machines)
+	if b.Machines == nil {
+		b.Machines = map[string]MachineRecord{}
+	}
+	b.Machines[m] = rec
+	return b
+}
+
+// Without is With for machines that go.
+func (b BlockRecord) Without(names ...string) BlockRecord {
+	b.Machines = maps.Clone(b.Machines)
+	for _, m := range names {
+		delete(b.Machines, m)
+	}
+	return b
+}
+
 func (r *Replica) applyJob(id string, it Item) (bool, error) {
 	e := r.Jobs[id]
 	if e != nil && e.Version >= it.Version {
--- a/internal/storage/request.go
+++ b/internal/storage/request.go
@@ -86,21 +86,41 @@
 }
 
 // Budget is a token bucket for requests and another for changes, of which this
-// controller has its share. A request that must not wait may overdraw it by as
-// much again.
+// controller has its share: an even one, and what the others leave unused. A
+// request that must not wait may overdraw it by as much again.
 type Budget struct {
-	rate, writeRate int64 // thousandths a second
-	left, writeLeft int64 // thousandths
-	at              micros.Time
+	total, writeTotal int64 // thousandths a second, of all controllers
+	fair, writeFair   int64 // an even share
+	rate, writeRate   int64 // the share now
+	left, writeLeft   int64 // thousandths
+	at                micros.Time
+	used, writeUsed   int64 // thousandths since usedAt
+	usedAt            micros.Time
+	recent            Usage
 }
 
+// Usage is what a controller used of the limits of late, in thousandths a second.
+type Usage struct{ Requests, Writes int64 }
+
 // NewBudget shares the service's limits among the controllers.
 func NewBudget(rps, writeRPS float64, nodes int) *Budget {
-	b := &Budget{rate: int64(rps * 1000 * 0.95 / float64(nodes)), writeRate: int64(writeRPS * 1000 * 0.95 / float64(nodes))}
+	b := &Budget{total: int64(rps * 950), writeTotal: int64(writeRPS * 950)}
+	b.fair, b.writeFair = b.total/int64(nodes), b.writeTotal/int64(nodes)
+	b.rate, b.writeRate = b.fair, b.writeFair
 	b.left, b.writeLeft = b.rate, b.writeRate
 	return b
 }
 
+// Others tells what the other controllers used of late. What they leave may be
+// used here, but for a reserve that lets them begin to use more.
+func (b *Budget) Others(u Usage) {
+	b.rate = max(b.fair, b.total-u.Requests-b.fair/2)
+	b.writeRate = max(b.writeFair, b.writeTotal-u.Writes-b.writeFair/2)
+}
+
+// Recent is what was used here of late.
+func (b *Budget) Recent() Usage { return b.recent }
+
 // Take reports whether a request with so many changes may be sent now.
 func (b *Budget) Take(now micros.Time, writes int, urgent bool) bool {
 	if dt := min(now-b.at, micros.Second); dt > 0 {
@@ -108,6 +128,10 @@
 		b.writeLeft = min(max(b.writeRate, 12_000), b.writeLeft+b.writeRate*dt/micros.Second)
 		b.at = now
 	}
+	if dt := now - b.usedAt; dt >= micros.Second {
+		b.recent = Usage{b.used * micros.Second / dt, b.writeUsed * micros.Second / dt}
+		b.used, b.writeUsed, b.usedAt = 0, 0, now
+	}
 	need, needWrites := int64(1000), int64(writes)*1000
 	floor, writeFloor := int64(0), int64(0)
 	if urgent {
@@ -118,5 +142,7 @@
 	}
 	b.left -= need
 	b.writeLeft -= needWrites
+	b.used += need
+	b.writeUsed += needWrites
 	return true
 }
