--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -13,8 +13,14 @@
 	"pipitlatch/internal/storage"
 )
 
-// tickEvery is how often timers are looked at.
-const tickEvery = 50 * micros.Millisecond
+const (
+	// tickEvery is how often timers are looked at.
+	tickEvery = 50 * micros.Millisecond
+	// tickSoon is how long after the last look they are looked at anew when there
+	// was input: with hundreds of machines a look at every input would be all that
+	// a controller does.
+	tickSoon = 20 * micros.Millisecond
+)
 
 // Core is the state machine of one controller.
 type Core struct {
@@ -25,6 +31,7 @@
 
 	now, wall micros.Time
 	born      micros.Time
+	tickAt    micros.Time
 	out       *Output
 
 	nextCall uint64
@@ -111,8 +118,13 @@
 	for _, in := range inputs {
 		c.input(in)
 	}
-	c.tick()
-	c.out.Wake = c.now + tickEvery
+	if due := c.tickAt + tickSoon; c.now >= due {
+		c.tickAt = c.now
+		c.tick()
+		c.out.Wake = c.now + tickEvery
+	} else {
+		c.out.Wake = due
+	}
 	return c.out
 }
 
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -21,6 +21,7 @@
 	taken  micros.Time
 
 	machines []*machine // by name
+	order    []*job     // by id
 	jobs     map[string]*job
 	usage    map[string]bookkeeping.Resources // by team
 	counter  uint64
@@ -52,6 +53,8 @@
 	pause   micros.Time // no starts before
 	ran     micros.Time // run times of its completed tasks, added up
 	ranN    int
+	est     micros.Time // estimate of a task as of estAt
+	estAt   micros.Time
 	double  []*attempt // second attempts at a live task, being stopped
 }
 
@@ -105,13 +108,14 @@
 	ran  float64 // run times of completed tasks over their siblings', added up
 	ranN int
 
-	attempts map[AttemptID]*attempt
-	images   []image // most recently used last
-	outbox   []Command
-	calling  bool
-	callAt   micros.Time
-	probed   micros.Time
-	failed   int // calls without an answer, in a row
+	attempts   map[AttemptID]*attempt
+	images     []image // most recently used last
+	outbox     []Command
+	calling    bool
+	callAt     micros.Time
+	probed     micros.Time
+	failed     int  // calls without an answer, in a row
+	lostStarts bool // a start got no answer
 }
 
 type image struct {
@@ -254,12 +258,14 @@
 	for id := range m.attempts {
 		out = append(out, id)
 	}
-	slices.SortFunc(out, func(a, b AttemptID) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
-	})
+	slices.SortFunc(out, AttemptID.compare)
 	return out
 }
 
+func (id AttemptID) compare(o AttemptID) int {
+	return cmp.Or(cmp.Compare(id.Job, o.Job), cmp.Compare(id.Task, o.Task), cmp.Compare(id.Number, o.Number))
+}
+
 func (h *holder) jobChanged(id string) {
 	e := h.c.replica.Jobs[id]
 	j := h.jobs[id]
@@ -281,6 +287,8 @@
 		}
 	}
 	h.jobs[id] = j
+	i, _ := slices.BinarySearchFunc(h.order, id, func(o *job, id string) int { return cmp.Compare(o.ID, id) })
+	h.order = slices.Insert(h.order, i, j)
 	h.dirty = true
 	h.c.log(levelDebug, "job", "job", id, "class", j.Class, "tasks", j.Tasks, "cpu", j.Need.CPU, "estimate_ms", j.Estimate/micros.Millisecond,
 		"due_ms", j.Deadline/micros.Millisecond)
@@ -289,6 +297,7 @@
 // jobOver ends what is left of a job that is done or cancelled.
 func (h *holder) jobOver(j *job) {
 	delete(h.jobs, j.ID)
+	h.order = slices.DeleteFunc(h.order, func(o *job) bool { return o == j })
 	for _, m := range h.machines {
 		for _, id := range sortedAttempts(m) {
 			a := m.attempts[id]
@@ -465,11 +474,7 @@
 		return nil
 	}
 	var out []Command
-	for _, id := range sortedAttempts(m) {
-		if len(out) >= maxOrders {
-			break
-		}
-		a := m.attempts[id]
+	for id, a := range m.attempts {
 		switch {
 		case a.state == Exited:
 			// A start that may still arrive would begin a forgotten attempt anew.
@@ -480,7 +485,8 @@
 			out = append(out, Command{Op: Stop, AttemptID: id, Grace: h.graceLeft(a)})
 		}
 	}
-	return out
+	slices.SortFunc(out, func(a, b Command) int { return a.compare(b.AttemptID) })
+	return out[:min(len(out), maxOrders)]
 }
 
 // graceLeft ends an attempt at once when its time to save is over.
@@ -879,8 +885,8 @@
 		h.tickMachine(m)
 	}
 	h.markUsed()
-	for _, id := range sortedKeys(h.jobs) {
-		h.store(h.jobs[id])
+	for _, j := range h.order {
+		h.store(j)
 	}
 	h.schedule()
 	for _, m := range h.machines {
@@ -939,6 +945,9 @@
 // unresolved tells whether a start was sent in vain, is no longer wanted, and
 // has not been settled for a good part of a worker's lease.
 func (h *holder) unresolved(m *machine) bool {
+	if !m.lostStarts {
+		return false
+	}
 	for _, a := range m.attempts {
 		if a.stop && !a.shown && a.lost > 0 && h.c.now-a.stopped > h.c.cfg.Lease()/2 {
 			return true
@@ -1107,6 +1116,7 @@
 			a.open--
 			if r.Report == nil && m.session == session {
 				a.lost++ // it may still be executed, even minutes later
+				m.lostStarts = true
 			}
 		}
 		if r.Report == nil {
@@ -1178,8 +1188,8 @@
 
 func (h *holder) progress() []JobProgress {
 	var out []JobProgress
-	for _, id := range sortedKeys(h.jobs) {
-		j := h.jobs[id]
+	for _, j := range h.order {
+		id := j.ID
 		p := JobProgress{ID: id, Done: j.finishedCount()}
 		for _, a := range j.live {
 			if a.state == Running || a.state == Saving {
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -35,13 +35,12 @@
 		return
 	}
 	h.planAt, h.dirty = now, false
-	machines := h.planMachines()
 	silent := slices.ContainsFunc(h.machines, func(m *machine) bool { return !m.known })
 
 	var services, arrays []ranked
 	var queue []*plan.Queued
-	for _, id := range sortedKeys(h.jobs) {
-		j := h.jobs[id]
+	for _, j := range h.order {
+		j.est = 0
 		if j.waiting.Len() == 0 || j.pause > now {
 			continue
 		}
@@ -58,6 +57,7 @@
 			queue = append(queue, r.q)
 		}
 	}
+	machines := h.planMachines()
 	plan.Rank(queue, now)
 	slices.SortStableFunc(services, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.Submitted, b.j.Submitted))
@@ -107,6 +107,9 @@
 // by what the class shows, and by the job's own tasks, completed or running
 // longer than that. Exception to the design, which takes run times as known.
 func (h *holder) estimate(j *job) micros.Time {
+	if j.est > 0 && j.estAt == h.planAt {
+		return j.est // once a plan
+	}
 	p := h.c.stats.Corrected(j.Job)
 	p = (p*trust + j.ran) / micros.Time(trust+j.ranN)
 	for _, a := range j.live {
@@ -114,6 +117,7 @@
 			p = max(p, h.c.now-a.running)
 		}
 	}
+	j.est, j.estAt = p, h.planAt
 	return p
 }
 
@@ -139,8 +143,7 @@
 		if m.block.Spot {
 			pm.LossRate = h.c.spot.rate()
 		}
-		for _, id := range sortedAttempts(m) {
-			a := m.attempts[id]
+		for _, a := range m.attempts { // in any order: the sums are the same
 			if a.state == Exited {
 				continue
 			}
@@ -510,8 +513,7 @@
 	replicas := 0
 	var kind *job
 	perMachine := map[*machine]int{}
-	for _, id := range sortedKeys(h.jobs) {
-		j := h.jobs[id]
+	for _, j := range h.order {
 		if j.Kind != bookkeeping.Service {
 			continue
 		}
