--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -33,6 +33,7 @@
 	calmAt   micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
+	fleetAt    micros.Time
 	mergedAt   micros.Time            // last look at surplus machines
 	movedAt    micros.Time            // last move of a replica
 	load       int64                  // CPU that arrays used of late
--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -40,6 +40,8 @@
 	Now    micros.Time
 	Zone   string         // "": any; the zone that a one-zone job already has
 	InZone map[string]int // tasks of the job by zone
+	// Pack is how many replicas a machine takes before others are preferred.
+	Pack int
 	// Allowed tells further conditions on a machine; nil: none.
 	Allowed func(*Machine) bool
 }
@@ -98,9 +100,10 @@
 
 // better tells whether a is the better gap for the job: the least total weighted
 // tardiness decides; among equals (mostly: no tardiness at all) the task that is
-// ready first, then, for a service, the machine with fewer replicas, and for an
-// array the machine that services cannot use, then the fuller one.
-func better(j *bookkeeping.Job, a, b candidate) bool {
+// ready first, then, for a service, a machine that has replicas already, up to a
+// number, and from there on the one with fewer, and for an array the machine that
+// services cannot use, then the fuller one.
+func better(j *bookkeeping.Job, pack int, a, b candidate) bool {
 	if !b.ok || !a.ok {
 		return a.ok
 	}
@@ -113,6 +116,9 @@
 	am, bm := a.slot.Machine, b.slot.Machine
 	if j.Kind == bookkeeping.Service {
 		if am.Services != bm.Services {
+			if am.Services < pack && bm.Services < pack {
+				return am.Services > bm.Services
+			}
 			return am.Services < bm.Services
 		}
 	} else if am.Spot != bm.Spot {
@@ -128,11 +134,12 @@
 // candidates is a heap of the machines' best gaps for one job, the best on top.
 type candidates struct {
 	job  *bookkeeping.Job
+	pack int
 	list []candidate
 }
 
 func (h *candidates) Len() int           { return len(h.list) }
-func (h *candidates) Less(i, j int) bool { return better(h.job, h.list[i], h.list[j]) }
+func (h *candidates) Less(i, j int) bool { return better(h.job, h.pack, h.list[i], h.list[j]) }
 func (h *candidates) Swap(i, j int)      { h.list[i], h.list[j] = h.list[j], h.list[i] }
 func (h *candidates) Push(x any)         { h.list = append(h.list, x.(candidate)) }
 func (h *candidates) Pop() any {
@@ -149,7 +156,7 @@
 	if r.Count <= 0 {
 		return 0
 	}
-	h := &candidates{job: r.Job, list: make([]candidate, 0, len(machines))}
+	h := &candidates{job: r.Job, pack: r.Pack, list: make([]candidate, 0, len(machines))}
 	for _, m := range machines {
 		if c := r.candidate(m); c.ok {
 			h.list = append(h.list, c)
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -84,6 +84,56 @@
 	h.needs = mergeNeeds(needs)
 	h.returnIdle()
 	h.consolidate()
+	h.logFleet(services, arrays)
+}
+
+// fleetEvery is how often the state of the fleet is logged.
+const fleetEvery = 10 * micros.Second
+
+// logFleet tells the operator what the queue's machines do, in CPU.
+func (h *holder) logFleet(services, arrays []ranked) {
+	if h.c.now-h.fleetAt < fleetEvery {
+		return
+	}
+	h.fleetAt = h.c.now
+	waiting := 0
+	for _, list := range [][]ranked{services, arrays} {
+		for _, r := range list {
+			waiting += r.j.waiting.Len()
+		}
+	}
+	for _, spot := range []bool{false, true} {
+		var machines, booting, leaving int
+		var total, boot, services, running, fetching int64
+		for _, m := range h.machines {
+			if m.block.Spot != spot || m.kind == nil {
+				continue
+			}
+			machines++
+			total += m.kind.Capacity.CPU
+			if m.session == 0 {
+				booting++
+				boot += m.kind.Capacity.CPU
+			}
+			if m.draining != "" {
+				leaving++
+			}
+			for _, a := range m.attempts {
+				switch {
+				case a.state == Exited:
+				case a.j != nil && a.j.Kind == bookkeeping.Service:
+					services += a.need.CPU
+				case a.state == Fetching:
+					fetching += a.need.CPU
+				default:
+					running += a.need.CPU
+				}
+			}
+		}
+		h.c.log(levelDebug, "fleet", "queue", h.queue, "spot", spot, "machines", machines, "booting", booting, "leaving", leaving, "cpu", total/1000,
+			"cpu_booting", boot/1000, "cpu_services", services/1000, "cpu_running", running/1000, "cpu_starting", fetching/1000,
+			"tasks_waiting", waiting)
+	}
 }
 
 // queued is what the index needs of a job's waiting tasks. A job with no
@@ -189,7 +239,7 @@
 // request is the planner's request for one job.
 func (h *holder) request(r ranked, count int) *plan.Request {
 	j := r.j
-	q := &plan.Request{Job: j.Job, Weight: r.q.Weight, P: r.q.P, Due: r.q.Due, Count: count, Now: h.c.now, InZone: map[string]int{}}
+	q := &plan.Request{Job: j.Job, Weight: r.q.Weight, P: r.q.P, Due: r.q.Due, Count: count, Now: h.c.now, InZone: map[string]int{}, Pack: h.pack()}
 	for _, a := range j.live {
 		q.InZone[a.m.block.Zone]++
 		if j.OneZone {
@@ -569,32 +619,47 @@
 	imagePatience = 15 * micros.Second
 )
 
-// consolidate gives up the dearest machine whose services fit elsewhere, spare
-// room included, while the arrays do not need it: it takes no more tasks, its
-// arrays end, its replicas move one by one. Exception to the design, which never
-// gives a machine up while something runs there.
+// consolidate gives up machines whose services fit elsewhere, spare room included,
+// while the arrays do not need them, those first that cost most a replica: such a
+// machine takes no more tasks, its arrays end, its replicas move one by one.
+// Exception to the design, which never gives a machine up while something runs
+// there.
 func (h *holder) consolidate() {
 	now := h.c.now
 	leaving := 0
 	for _, m := range h.machines {
 		if m.draining == "surplus" {
 			h.moveOff(m)
-			leaving++
+			if replicasOn(m) > 0 {
+				leaving++ // one that waits for its arrays to end holds up no others
+			}
 		}
 	}
-	if leaving >= maxLeaving {
-		return
-	}
-	if now-h.mergedAt < movePace || now-h.taken < 10*micros.Second {
+	most := max(maxLeaving, len(h.machines)/8)
+	if leaving >= most || now-h.mergedAt < movePace || now-h.taken < 10*micros.Second {
 		return
 	}
 	h.mergedAt = now
 	arrays, services, capacity := h.cpuLoad()
 	h.load = max(arrays, h.load-(h.load-arrays)/20)
-	var best *machine
+	type surplus struct {
+		m    *machine
+		cost float64 // a replica
+	}
+	var list []surplus
 	for _, m := range h.machines {
-		if m.kind == nil || m.block.Spot || !h.usable(m) || now-m.added < settled || m.idle != 0 ||
-			h.load > (capacity-m.kind.Capacity.CPU-services)*8/10 ||
+		if m.kind == nil || m.block.Spot || !h.usable(m) || now-m.added < settled || m.idle != 0 {
+			continue
+		}
+		list = append(list, surplus{m, m.kind.Price / float64(max(1, replicasOn(m)))})
+	}
+	slices.SortStableFunc(list, func(a, b surplus) int { return cmp.Compare(b.cost, a.cost) })
+	for _, s := range list {
+		m := s.m
+		if leaving >= most {
+			return
+		}
+		if h.load > (capacity-m.kind.Capacity.CPU-services)*8/10 ||
 			slices.ContainsFunc(h.needs, func(n fleet.Need) bool {
 				return !n.Service && n.Allows(fleet.Offer{Type: m.block.Type, Zone: m.block.Zone})
 			}) {
@@ -603,18 +668,27 @@
 		if _, missing := h.spareMissing(m, false); missing > 0 {
 			continue
 		}
-		if best == nil || m.kind.Price > best.kind.Price {
-			best = m
-		}
+		h.drain(m, "surplus")
+		capacity -= m.kind.Capacity.CPU
+		leaving++
 	}
-	if best != nil {
-		h.drain(best, "surplus")
+}
+
+// replicasOn is how many replicas a machine has.
+func replicasOn(m *machine) int {
+	n := 0
+	for _, a := range m.attempts {
+		if a.state != Exited && a.j != nil && a.j.Kind == bookkeeping.Service {
+			n++
+		}
 	}
+	return n
 }
 
 // moveOff moves the next replica off a machine, to one that has its image.
 func (h *holder) moveOff(m *machine) {
-	if h.c.now-h.movedAt < movePace/2 || m.ack != h.token {
+	pace := movePace / 2 / micros.Time(max(1, h.pack()))
+	if h.c.now-h.movedAt < pace || m.ack != h.token {
 		return
 	}
 	// A replica is away for as long as its image takes to arrive: a dear machine is
@@ -648,6 +722,14 @@
 	return free
 }
 
+// packShare is the part of all replicas that may be lost with one machine: below
+// it they are packed, so that machines become free when the arrays end; above it
+// they are spread. Exception to the design, whose gaps know no machines that end.
+const packShare = 16
+
+// pack is how many replicas a machine takes before others are preferred.
+func (h *holder) pack() int { return h.replicas() / packShare }
+
 // replicas is how many service tasks there are, running or not.
 func (h *holder) replicas() int {
 	n := 0
