Scenarios of one-way machines, late copies, lone cuts, quick returns; first tasks in time

The stand-ins learn: messages that do not reach a machine, copies of reports at any node, workers and nodes begun anew within a fraction of a second, a load balancer with connections that stay open, and jobs nobody answers for, checked one by one.

--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -77,6 +77,7 @@
 		needs = append(needs, h.placeService(r, machines)...)
 	}
 	needs = append(needs, h.spare()...)
+	h.placeFirst(arrays, machines)
 	left := planTasks
 	for _, r := range arrays {
 		needs = append(needs, h.placeArray(r, machines, &left)...)
@@ -136,6 +137,28 @@
 	}
 }
 
+// firstPatience is how long a job waits for the start of its first task before
+// that task goes ahead of the index.
+const firstPatience = 120 * micros.Second
+
+// placeFirst places the first task of the jobs that have waited long for it,
+// before all others. Exception to the design: the index ranks what is long and
+// late behind all that is short, under load for ever, and every job is to begin.
+func (h *holder) placeFirst(arrays []ranked, machines []*plan.Machine) {
+	var late []ranked
+	for _, r := range arrays {
+		j := r.j
+		if h.c.wall-j.Submitted > firstPatience && len(j.live) == 0 && j.finishedCount() == 0 {
+			late = append(late, r)
+		}
+	}
+	slices.SortStableFunc(late, func(a, b ranked) int { return cmp.Compare(a.j.Submitted, b.j.Submitted) })
+	for _, r := range late {
+		one := 1
+		h.placeArray(r, machines, &one)
+	}
+}
+
 // queued is what the index needs of a job's waiting tasks. A job with no
 // deadline takes d = arrival + 2p.
 func (h *holder) queued(j *job) *plan.Queued {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -63,6 +63,8 @@
 	"cut holder others for=%d", "cut holder state hold for=%d", "cut holder for=%d", "cut all hold for=%d",
 	"worker any die", "worker any hang for=%d", "worker spot take", "worker spot take notice=%d", "worker any sick", "worker any late by=6 for=%d", "worker all late by=4 for=%d", "worker any slow factor=4",
 	"cut vm-000001 hold for=%d", "cut vm-000002 for=%d", "cut vm-000001 holder hold for=%d",
+	"alone holder for=%d", "alone node-0 hold for=%d", "crash all back=0.2", "crash node-1 back=0.05",
+	"worker any oneway for=%d", "worker all copies by=35 for=%d", "worker any restart back=0.3", "worker all restart back=0.2",
 	"cloud down for=%d", "cloud late 8 for=%d", "cloud neverup 0.5 for=%d", "cloud slowboot 3 for=%d", "cloud full for=%d",
 }
 
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -203,7 +203,7 @@
 }
 
 var actions = map[string]bool{"submit": true, "resubmit": true, "cancel": true, "strangers": true, "crash": true, "start": true, "roll": true,
-	"pause": true, "cut": true, "state": true, "cloud": true, "worker": true}
+	"pause": true, "cut": true, "alone": true, "state": true, "cloud": true, "worker": true}
 
 func (w *World) known(l *line) error {
 	if !actions[l.word(0)] {
@@ -216,6 +216,15 @@
 func (w *World) act(l *line) {
 	length := l.secs("for", 10)
 	switch l.word(0) {
+	case "submit", "resubmit", "cancel", "strangers":
+	default:
+		end := length + l.secs("back", 0) + l.secs("by", 0) + l.secs("notice", 0)
+		if l.word(0) == "roll" {
+			end += micros.Time(len(w.nodes)) * l.secs("every", 10)
+		}
+		w.calm = max(w.calm, w.now+end)
+	}
+	switch l.word(0) {
 	case "submit":
 		u := w.users
 		for i := range int(l.num("jobs", 1)) {
@@ -270,6 +279,16 @@
 				}
 			})
 		}
+	case "alone": // cut off from the state service and the other nodes, not from workers and users
+		for _, n := range w.nodesFor(l.word(1)) {
+			hold := l.word(2) == "hold"
+			w.startCut(&cut{a: n.name, b: "state", hold: hold}, length)
+			for _, o := range w.nodes {
+				if o != n {
+					w.startCut(&cut{a: n.name, b: o.name, hold: hold}, length)
+				}
+			}
+		}
 	case "cut":
 		hold := l.word(len(l.words)-1) == "hold"
 		var ends [2][]string
@@ -292,7 +311,7 @@
 		for _, a := range ends[0] {
 			for _, b := range ends[1] {
 				if a != b {
-					w.startCut(a, b, hold, length)
+					w.startCut(&cut{a: a, b: b, hold: hold}, length)
 				}
 			}
 		}
@@ -309,6 +328,12 @@
 				m.hang(length)
 			case "sick":
 				m.sick = true
+			case "oneway": // its reports arrive, nothing reaches it
+				w.startCut(&cut{a: m.name, into: true}, length)
+			case "copies":
+				m.copyBy, m.copyUntil = l.secs("by", 8), w.now+length
+			case "restart":
+				m.restart(l.secs("back", 0.3))
 			case "late":
 				m.late = l.secs("by", 8)
 				w.after(length, func() { m.late = 0 })
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -31,6 +31,9 @@
 	mistaken      bool
 	body          []byte
 
+	conn        *balancer // the connection it keeps
+	connLife    int
+	asked       micros.Time // first question since the last answer; 0: none
 	sent        bool
 	first       micros.Time
 	accepted    micros.Time // 0: not yet
@@ -42,6 +45,7 @@
 	lastPhase   string
 	starts      int
 	firstStart  micros.Time
+	lost        bool // reported as forgotten
 	replicaTime micros.Time
 }
 
@@ -51,37 +55,108 @@
 	jobs     map[string]*userJob
 	order    []string
 	strange  int // polls for jobs that nobody submitted
+	balance  []*balancer
 	started_ int
 }
 
 func newUsers(w *World) *users {
 	u := &users{w: w, jobs: map[string]*userJob{}}
+	for _, n := range w.nodes {
+		u.balance = append(u.balance, &balancer{n: n, pause: 3 * micros.Second})
+	}
+	w.after(200*micros.Millisecond, u.probe)
 	u.watch()
 	return u
 }
 
-// ask sends a request to some node and calls then with the status; 0: none.
-func (u *users) ask(make func(coordination.RequestID) coordination.Input, then func(status int, body []byte)) {
+// balancer is the load balancer's view of one node.
+type balancer struct {
+	n       *node
+	healthy bool
+	ever    bool
+	last    []bool // results of probes, the newest last
+	removed micros.Time
+	pause   micros.Time
+}
+
+// probe asks every node once a second whether it is well.
+func (u *users) probe() {
 	w := u.w
-	var up []*node
-	for _, n := range w.nodes {
-		if n.up() && !n.paused {
-			up = append(up, n)
+	for _, b := range u.balance {
+		n := b.n
+		ok := n.up() && !n.paused && n.core.Healthy() && w.cutBetween("users", n.name) == nil
+		b.last = append(b.last, ok)
+		b.last = b.last[max(0, len(b.last)-6):]
+		k := len(b.last)
+		bad := 0
+		for _, ok := range b.last {
+			if !ok {
+				bad++
+			}
+		}
+		switch {
+		case b.healthy && (bad >= 3 || (k >= 2 && !b.last[k-1] && !b.last[k-2])):
+			if b.removed > 0 && w.now-b.removed < 120*micros.Second {
+				b.pause = min(60*micros.Second, 2*b.pause)
+			} else {
+				b.pause = 3 * micros.Second
+			}
+			b.healthy, b.removed = false, w.now
+		case !b.healthy && ok && (!b.ever || (k >= 2 && b.last[k-2] && w.now-b.removed >= b.pause)):
+			b.healthy, b.ever, b.last = true, true, nil
 		}
 	}
-	if len(up) == 0 {
+	w.after(micros.Second, u.probe)
+}
+
+// connect finds the node of a user's connection: the one it has, while that node
+// lives and has not been unhealthy for long, or a healthy one.
+func (u *users) connect(j *userJob) *balancer {
+	w := u.w
+	if j != nil && j.conn != nil {
+		b := j.conn
+		if b.n.life == j.connLife && b.n.up() && (b.healthy || w.now-b.removed < 5*micros.Second) {
+			return b
+		}
+		j.conn = nil
+	}
+	var list []*balancer
+	for _, b := range u.balance {
+		if b.healthy && b.n.up() {
+			list = append(list, b)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	b := list[w.rng.IntN(len(list))]
+	if j != nil {
+		j.conn, j.connLife = b, b.n.life
+	}
+	return b
+}
+
+// ask sends a request on the job's connection and calls then with the status; 0:
+// none.
+func (u *users) ask(j *userJob, patience micros.Time, make func(coordination.RequestID) coordination.Input, then func(status int, body []byte)) {
+	w := u.w
+	b := u.connect(j)
+	if b == nil {
 		w.after(10*micros.Millisecond, func() { then(0, nil) })
 		return
 	}
-	n := up[w.rng.IntN(len(up))]
+	n := b.n
 	over := false
 	end := func(status int, body []byte) {
 		if !over {
 			over = true
+			if status == 0 && j != nil {
+				j.conn = nil // given up with its request
+			}
 			then(status, body)
 		}
 	}
-	w.after(5*micros.Second, func() { end(0, nil) })
+	w.after(patience, func() { end(0, nil) })
 	w.send("users", n.name, func() {
 		n.ask(make, func(a coordination.Answer) {
 			status, body := 503, []byte(nil)
@@ -112,7 +187,7 @@
 	}
 	j.sent = true
 	body := j.body
-	u.ask(func(id coordination.RequestID) coordination.Input {
+	u.ask(j, 5*micros.Second, func(id coordination.RequestID) coordination.Input {
 		ref, job, err := protocol.ParseSubmission(body)
 		s := &coordination.Submit{Request: id, ID: ref, Job: job}
 		if err != nil {
@@ -144,11 +219,14 @@
 }
 
 func (u *users) poll(j *userJob) {
-	if (j.toldDone || j.cancelled != 0) && u.w.rng.IntN(3) > 0 {
+	if j.asked == 0 && (j.toldDone || j.cancelled != 0) && u.w.rng.IntN(3) > 0 {
 		u.w.after(15*micros.Second, func() { u.poll(j) })
 		return
 	}
-	u.ask(func(id coordination.RequestID) coordination.Input {
+	if j.asked == 0 {
+		j.asked = u.w.now
+	}
+	u.ask(j, 2*micros.Second, func(id coordination.RequestID) coordination.Input {
 		return &coordination.Lookup{Request: id, ID: j.ref}
 	}, func(status int, body []byte) {
 		switch status {
@@ -165,7 +243,7 @@
 
 func (u *users) cancel(j *userJob) {
 	j.wantCancel = true
-	u.ask(func(id coordination.RequestID) coordination.Input {
+	u.ask(j, 5*micros.Second, func(id coordination.RequestID) coordination.Input {
 		return &coordination.Cancel{Request: id, ID: j.ref}
 	}, func(status int, body []byte) {
 		if status == 200 {
@@ -178,7 +256,7 @@
 
 // stranger polls for a job that nobody submitted.
 func (u *users) stranger(ref string) {
-	u.ask(func(id coordination.RequestID) coordination.Input {
+	u.ask(nil, 2*micros.Second, func(id coordination.RequestID) coordination.Input {
 		return &coordination.Lookup{Request: id, ID: ref}
 	}, func(status int, _ []byte) {
 		u.strange++
@@ -201,7 +279,7 @@
 	if j.cancelled != 0 && s.Phase != "cancelled" {
 		u.w.breakRule("went_back", "%s: cancelled, then %s", j.ref, s.Phase)
 	}
-	j.lastPhase = s.Phase
+	j.lastPhase, j.asked = s.Phase, 0
 	switch s.Phase {
 	case "done":
 		j.toldDone = true
@@ -283,6 +361,9 @@
 	return false
 }
 
+// forgottenAfter is how long after all troubles a job may go without an answer.
+const forgottenAfter = 75 * micros.Second
+
 // watch checks, ten times a second, that cancelled tasks are gone in time, and
 // counts replicas.
 func (u *users) watch() {
@@ -305,6 +386,13 @@
 			}
 		}
 	}
+	for _, ref := range u.order {
+		j := u.jobs[ref]
+		if j.accepted != 0 && !j.lost && j.asked != 0 && u.w.now-max(j.asked, u.w.calm) > forgottenAfter {
+			j.lost = true
+			u.w.breakRule("forgotten", "%s: no question about it was answered since %.3f", ref, micros.Seconds(j.asked))
+		}
+	}
 	u.w.after(every, u.watch)
 }
 
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -41,6 +41,11 @@
 	sick    bool
 	late    micros.Time // commands sent straight to it are delayed by up to this
 	recall  micros.Time // when it is taken; 0: no notice
+	off     bool        // between two runs of the worker
+	life    int         // counts them
+
+	copyBy    micros.Time // copies of its reports come up to this late
+	copyUntil micros.Time // reports are copied until then
 
 	tenure   uint64
 	tick     uint64
@@ -67,6 +72,25 @@
 	m.sendReport()
 }
 
+// restart ends the worker and begins it anew under its old name: tenure, tick and
+// token start again.
+func (m *machine) restart(back micros.Time) {
+	if m.gone || !m.booted {
+		return
+	}
+	m.off = true
+	m.life++
+	m.report++
+	m.tasks, m.images = map[string]*workerTask{}, map[string]bool{}
+	m.w.after(back, func() {
+		m.off, m.inFlight, m.hung, m.thaw = false, false, false, nil
+		m.tenure, m.tick, m.warrant, m.warned = 1, 0, 0, 0
+		m.answered = m.w.now
+		m.steward = m.w.nodes[m.w.rng.IntN(len(m.w.nodes))].name
+		m.do(m.sendReport)
+	})
+}
+
 func (m *machine) vanish() {
 	m.gone = true
 	m.goneAt = m.w.now
@@ -75,7 +99,7 @@
 
 // do runs something on the machine: later, if it hangs.
 func (m *machine) do(run func()) {
-	if m.gone {
+	if m.gone || m.off {
 		return
 	}
 	if m.hung {
@@ -114,6 +138,10 @@
 		if m.gone {
 			return
 		}
+		if m.off {
+			m.watchLease()
+			return
+		}
 		m.expire() // a hanging machine can only go on within its lease
 		m.watchLease()
 	})
@@ -188,10 +216,10 @@
 	w := m.w
 	m.inFlight = true
 	m.lastSent = w.now
-	sent, tenure, over := w.now, m.tenure, false
+	sent, tenure, life, over := w.now, m.tenure, m.life, false
 	n := w.node(m.steward)
 	end := func(status int, body []byte) {
-		if over {
+		if over || life != m.life {
 			return
 		}
 		over = true
@@ -199,6 +227,17 @@
 	}
 	raw := m.body()
 	w.after(4*micros.Second, func() { end(0, nil) })
+	if w.now < m.copyUntil {
+		to := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.after(w.rng.Int64N(int64(m.copyBy)), func() {
+			if rep, err := protocol.ParseReport(raw); err == nil && to.up() {
+				// Nobody waits for the answer.
+				to.ask(func(id coordination.RequestID) coordination.Input {
+					return &coordination.ReportIn{Request: id, Report: rep}
+				}, func(coordination.Answer) {})
+			}
+		})
+	}
 	w.send(m.name, n.name, func() {
 		if !n.up() {
 			w.send(n.name, m.name, func() { end(0, nil) })
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -41,6 +41,7 @@
 type cut struct {
 	a, b string // b "": everybody
 	hold bool   // packets are delivered afterwards, instead of never
+	into bool   // only packets to a are lost
 	held []func()
 }
 
@@ -56,6 +57,7 @@
 	cloud  *cloud
 	users  *users
 	cuts   []*cut
+	calm   micros.Time // when the last trouble so far is over
 	broken []string
 	logf   func(string, ...any)
 }
@@ -82,9 +84,10 @@
 	}
 }
 
+// cutBetween finds what keeps packets from a from reaching b.
 func (w *World) cutBetween(a, b string) *cut {
 	for _, c := range w.cuts {
-		if (c.a == a && (c.b == "" || c.b == b)) || (c.a == b && (c.b == "" || c.b == a)) {
+		if (c.a == b && (c.b == "" || c.b == a)) || (!c.into && c.a == a && (c.b == "" || c.b == b)) {
 			return c
 		}
 	}
@@ -102,8 +105,7 @@
 	w.after(200+w.rng.Int64N(300), run)
 }
 
-func (w *World) startCut(a, b string, hold bool, length micros.Time) {
-	c := &cut{a: a, b: b, hold: hold}
+func (w *World) startCut(c *cut, length micros.Time) {
 	w.cuts = append(w.cuts, c)
 	w.after(length, func() {
 		for i := range w.cuts {
