--- a/internal/bookkeeping/runtimes.go
+++ b/internal/bookkeeping/runtimes.go
@@ -53,3 +53,13 @@
 func (r *RunTimes) Corrected(j *Job) micros.Time {
 	return max(micros.Millisecond, micros.Time(float64(j.Estimate)*r.Factor(j.Class)))
 }
+
+// Spread is how much longer than the corrected estimate a task of the class takes
+// that is longer than nine in ten.
+func (r *RunTimes) Spread(class string) float64 {
+	h := r.classes[class]
+	if h == nil || h.TotalCount() < enough {
+		return 1
+	}
+	return max(1, float64(h.ValueAtQuantile(90))/max(1, float64(h.ValueAtQuantile(50))))
+}
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -170,6 +170,10 @@
 		deadline = 2 * p
 	}
 	q.Due = h.c.now - age + deadline
+	if j.Deadline > 0 {
+		// A job is done with its slowest task: the slack has to do for that one.
+		q.Due -= micros.Time(float64(p) * (h.c.stats.Spread(j.Class) - 1) / 2)
+	}
 	return q
 }
 
