--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -667,8 +667,10 @@
 		return
 	}
 	h.mergedAt = now
+	// What arrays used of late is remembered for a minute where one of them can fill
+	// the fleet, and for less the larger the fleet: a single one counts less there.
 	arrays, services, capacity := h.cpuLoad()
-	h.load = max(arrays, h.load-(h.load-arrays)/20)
+	h.load = max(arrays, h.load-(h.load-arrays)/int64(max(4, min(20, 640/max(1, len(h.machines))))))
 	type surplus struct {
 		m    *machine
 		cost float64 // a replica
