Answers that never arrive do not put off the end of a lease; sharper scenarios

Found by oneway_takeover_alone: a single controller that begins anew answered the reports of a machine that nothing reaches every five seconds, so its lease never counted as run out, and the older jobs waited for as long as the cloud was down. After three answers shown as not received there are no more. Meanwhile machines that those jobs would need were given back as idle: not while one is silent.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -417,8 +417,9 @@
 		h.reached(m, r)
 		h.observe(m, r)
 	}
-	if m.lost() {
-		// Given up: answers would only keep its tasks alive.
+	if m.lost() || m.vain > maxVain {
+		// Given up, or out of reach of our answers: more of them would only push off
+		// the time from which its lease has surely run out.
 		h.c.unavailable(in.Request, "machine is given up")
 		return
 	}
@@ -439,6 +440,10 @@
 // end of its lease, is waited for.
 func (m *machine) lost() bool { return m.draining == "restarted" || m.draining == "unreachable" }
 
+// maxVain is how many answers in a row may be shown as not received before a
+// machine counts as out of reach.
+const maxVain = 2
+
 // answerPatience is how long a worker surely does not wait for an answer any more.
 const answerPatience = 5 * micros.Second
 
@@ -918,7 +923,7 @@
 		case up && m.expired && quiet > 3*h.c.cfg.LeaseRunOut():
 			// Long empty; a fault near this controller would have shown by now.
 			h.drain(m, "silent")
-		case m.vain > 2 && m.failed > 1:
+		case m.vain > maxVain && m.failed > 1:
 			h.drain(m, "unreachable")
 		case !m.known && m.failed > 1 && h.mostKnown():
 			// Older jobs wait for the last machine that could have their tasks: after
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -83,8 +83,11 @@
 		needs = append(needs, h.placeArray(r, machines, &left)...)
 	}
 	h.needs = mergeNeeds(needs)
-	h.returnIdle()
-	h.consolidate()
+	if !silent {
+		// Jobs that wait for the last silent machine have no needs yet, and will.
+		h.returnIdle()
+		h.consolidate()
+	}
 	h.logFleet(services, arrays)
 }
 
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -443,6 +443,14 @@
 		if j.firstStart == 0 || j.firstStart-j.first > l.secs("within", 60) {
 			return fmt.Sprintf("started after %v s", micros.Seconds(j.firstStart-j.first))
 		}
+	case "done-within":
+		if j.doneAt == 0 || j.doneAt-j.first > l.secs("within", 60) {
+			return fmt.Sprintf("done after %v s", micros.Seconds(j.doneAt-j.first))
+		}
+	case "vain": // starts sent to machines that nothing reaches
+		if float64(w.vain) > l.num("most", 0) {
+			return fmt.Sprintf("%d starts", w.vain)
+		}
 	case "never-started":
 		if j.starts > 0 {
 			return fmt.Sprintf("%d starts", j.starts)
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -45,7 +45,8 @@
 	lastPhase   string
 	starts      int
 	firstStart  micros.Time
-	lost        bool // reported as forgotten
+	doneAt      micros.Time // when its user was first told
+	lost        bool        // reported as forgotten
 	replicaTime micros.Time
 }
 
@@ -282,6 +283,9 @@
 	j.lastPhase, j.asked = s.Phase, 0
 	switch s.Phase {
 	case "done":
+		if j.doneAt == 0 {
+			j.doneAt = u.w.now
+		}
 		j.toldDone = true
 		if len(j.done) < j.shards {
 			u.w.breakRule("not_done", "%s: told done with %d of %d tasks", j.ref, len(j.done), j.shards)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -57,6 +57,7 @@
 	cloud  *cloud
 	users  *users
 	cuts   []*cut
+	vain   int         // starts sent into a cut
 	calm   micros.Time // when the last trouble so far is over
 	broken []string
 	logf   func(string, ...any)
@@ -168,6 +169,9 @@
 	out := n.core.Step(steady, 1_800_000_000*micros.Second+w.now+n.skew, in...)
 	life := n.life
 	for _, l := range out.Log {
+		if l.Text == "task on two machines" {
+			w.breakRule("conflict", "%s: %v", n.name, l.Args)
+		}
 		w.logf("%10.3f %s %s %v", micros.Seconds(w.now), n.name, l.Text, l.Args)
 	}
 	for _, a := range out.Answers {
@@ -204,6 +208,13 @@
 		if m != nil {
 			target = m.name
 		}
+		if w.cutBetween(n.name, target) != nil {
+			for _, cmd := range c.Commands {
+				if cmd.Op == coordination.Start {
+					w.vain++
+				}
+			}
+		}
 		n.call(target, c.Timeout, func(reply func(int, []byte)) {
 			if m == nil || m.gone {
 				return
