--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -566,7 +566,7 @@
 	l.renting[name] = true
 	again := func() {
 		delete(l.renting, name)
-		l.retry[name] = c.now + 500*micros.Millisecond // the same name gives the same answer
+		l.retry[name] = c.now + 200*micros.Millisecond // the same name gives the same answer
 	}
 	if !c.callState(r, true, stateTimeout, func(reply *storage.Reply) {
 		again()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -88,10 +88,12 @@
 	}
 	in.Job.Submitted = c.wall
 	key := c.keys.Job(id)
+	// Within the budget: a burst of submissions that overdrew it would have the
+	// state service refuse what the leader and the holders write.
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(in.Job)}},
-	}, true, stateTimeout, func(r *storage.Reply) {
+	}, false, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
 		case storage.OK:
 			c.answer(Answer{Request: req, Kind: Accepted, Job: JobView{ID: id}})
