--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -93,10 +93,11 @@
 	// seen is when something last showed that our messages reach it: a report
 	// alone does not, the way back may be cut.
 	seen     micros.Time
-	answered micros.Time // last answer that may have renewed its lease; 0: none
+	answered micros.Time // last answer that may have renewed its lease
 	replied  micros.Time // last answer to a report, for seen
 	vain     int         // answers in a row that its next report showed as not received
 	top      uint64      // highest token it ever showed
+	news     micros.Time // when its newest report or answer came
 	floor    uint64      // a report up to this seq is surely not waiting for an answer
 	floorNew uint64      // the next floor, known since floorAt
 	floorAt  micros.Time
@@ -407,7 +408,7 @@
 		return
 	}
 	newer := m.newer(r)
-	if !newer && (r.Session < m.session || r.Seq <= m.floor || r.Token < m.top) {
+	if !newer && (r.Session < m.session || r.Seq <= m.floor || h.c.now-m.news > answerPatience || r.Token < m.top) {
 		// A copy of an old report, whose answer reaches nobody, or a worker that
 		// began anew: an answer must neither count nor renew a lease.
 		h.c.unavailable(in.Request, "old report")
@@ -457,7 +458,6 @@
 	}
 	if r.Token < h.since || r.Session > m.session {
 		// Our answers under this lease, or in its last session, did not arrive.
-		m.answered = 0
 		m.vain++
 	} else if h.c.now-m.replied < answerPatience-1500*micros.Millisecond {
 		// It goes on at its pace and stays with us: it had our answer.
@@ -529,7 +529,7 @@
 	if h.c.now-m.floorAt > answerPatience {
 		m.floor, m.floorNew, m.floorAt = m.floorNew, r.Seq, h.c.now
 	}
-	m.seq = r.Seq
+	m.seq, m.news = r.Seq, h.c.now
 	m.top = max(m.top, r.Token)
 	if m.expired {
 		return // sent before its lease ran out, and late: what it shows is gone
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -33,8 +33,7 @@
 	absent     map[string]micros.Time          // blocks without a machine in the list: since when
 	orphans    map[string]orphan
 	adoptAt    micros.Time
-	closed     uint64                 // revision at which the last rental became a block
-	checking   map[string]micros.Time // unknown machines that are asked: not again before
+	closed     uint64 // revision at which the last rental became a block
 	rentAt     micros.Time
 	exhausted  *fleet.Exhausted
 	shifts     map[string][]Shift
@@ -48,7 +47,6 @@
 	l.deleting, l.removing, l.orphans = map[string]bool{}, map[string]micros.Time{}, map[string]orphan{}
 	l.closed = c.replica.Revision
 	l.absent = map[string]micros.Time{}
-	l.checking = map[string]micros.Time{}
 	l.deaf = map[storage.Process]micros.Time{}
 	l.gone = map[string]micros.Time{}
 	l.counter = 0
@@ -84,11 +82,6 @@
 	c.removeBlocks()
 	c.adoptMachines()
 	c.shiftBlocks()
-	for _, m := range sortedKeys(l.checking) {
-		if c.now >= l.checking[m] {
-			delete(l.checking, m)
-		}
-	}
 }
 
 // assignQueues leases queues without a live holder. A holder that is registered
@@ -279,27 +272,12 @@
 // late copies of its reports, and lists, may still show it.
 const goneFor = 300 * micros.Second
 
-// maxChecks bounds the unknown machines asked at once.
-const maxChecks = 32
-
 // found takes a machine that reports and has no block: a rental executed late, or
 // one whose answer was lost. The report may be a late copy from a machine that was
-// deleted, or its way back may be cut: it is adopted only after it was asked.
+// deleted under an earlier leader: as a machine that had no task it holds up no
+// planning, and as one that does not answer it is soon deleted again.
 func (l *leaderState) found(c *Core, r *Report) {
-	if _, gone := l.gone[r.Machine]; gone || r.Address == "" || len(l.checking) >= maxChecks || c.now < l.checking[r.Machine] {
-		return
-	}
-	l.checking[r.Machine] = c.now + 2*micros.Second
-	version := l.version
-	c.callWorker(WorkerCall{Machine: r.Machine, Address: r.Address, Show: true, Timeout: micros.Second}, func(reply *WorkerReply) {
-		if l.version != version {
-			return
-		}
-		if s := reply.Report; s == nil || s.Machine != r.Machine || s.Session < r.Session || (s.Session == r.Session && s.Seq <= r.Seq) {
-			return
-		}
-		c.adoptMachine(r.Machine, r.Address, fleet.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
-	})
+	c.adoptMachine(r.Machine, r.Address, fleet.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
 }
 
 // adoptMachine notes a machine that is to be assigned to the queue with the
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -788,11 +788,21 @@
 	return out
 }
 
+// returnPatience is how long the deletion of an idle machine takes at most while
+// the cloud is well.
+const returnPatience = 5 * micros.Second
+
 // returnIdle gives machines back that have had no task for a while and are not
 // part of the spare room for services.
 func (h *holder) returnIdle() {
 	kind, _ := h.spareMissing(nil, true)
 	large := h.oversized(kind)
+	for _, m := range h.machines {
+		if m.draining == "idle" && h.c.now-m.drainAt > returnPatience {
+			// The cloud does not take them back now: what is drained serves nobody.
+			return
+		}
+	}
 	for _, m := range h.machines {
 		keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
 		if !m.block.Spot {
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -331,7 +331,7 @@
 			case "oneway": // its reports arrive, nothing reaches it
 				w.startCut(&cut{a: m.name, into: true}, length)
 			case "copies":
-				m.copyBy, m.copyUntil = l.secs("by", 8), w.now+length
+				m.copies, m.copyBy, m.copyUntil = int(l.num("n", 1)), l.secs("by", 8), w.now+length
 			case "restart":
 				m.restart(l.secs("back", 0.3))
 			case "late":
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -44,6 +44,7 @@
 	off     bool        // between two runs of the worker
 	life    int         // counts them
 
+	copies    int         // of every report
 	copyBy    micros.Time // copies of its reports come up to this late
 	copyUntil micros.Time // reports are copied until then
 
@@ -227,7 +228,10 @@
 	}
 	raw := m.body()
 	w.after(4*micros.Second, func() { end(0, nil) })
-	if w.now < m.copyUntil {
+	for range m.copies {
+		if w.now >= m.copyUntil {
+			break
+		}
 		to := w.nodes[w.rng.IntN(len(w.nodes))]
 		w.after(w.rng.Int64N(int64(m.copyBy)), func() {
 			if rep, err := protocol.ParseReport(raw); err == nil && to.up() {
