--- a/internal/coordination/barrier.go
+++ b/internal/coordination/barrier.go
@@ -54,7 +54,7 @@
 		return
 	}
 	batch := c.waiting
-	ok := c.callState(&storage.Request{Kind: storage.Get, Key: c.keys.Barrier()}, false, micros.Second, func(r *storage.Reply) {
+	ok := c.callState(&storage.Request{Kind: storage.Get, Key: c.keys.Barrier()}, storage.Patient, micros.Second, func(r *storage.Reply) {
 		c.reading = false
 		if r.Outcome != storage.NotFound {
 			for _, w := range batch {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -164,8 +164,8 @@
 }
 
 // callState sends a request to the state service if the budget allows.
-func (c *Core) callState(r *storage.Request, urgent bool, timeout micros.Time, done func(*storage.Reply)) bool {
-	if !c.budget.Take(c.now, r.Writes(), urgent) {
+func (c *Core) callState(r *storage.Request, urgency storage.Urgency, timeout micros.Time, done func(*storage.Reply)) bool {
+	if !c.budget.Take(c.now, r.Writes(), urgency) {
 		return false
 	}
 	id := c.call(func(v any) { done(v.(*storage.Reply)) })
@@ -248,7 +248,7 @@
 	c.catalogSave = c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{c.asLeader(), {Key: key, Version: c.replica.Catalog.Version}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(c.catalog)}},
-	}, false, stateTimeout, func(*storage.Reply) { c.catalogSave = false })
+	}, storage.Patient, stateTimeout, func(*storage.Reply) { c.catalogSave = false })
 }
 
 const (
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -778,7 +778,11 @@
 			written[chunk] = all
 		}
 	}
-	j.storing = h.c.callState(r, whole, stateTimeout, func(reply *storage.Reply) {
+	urgency := storage.Patient
+	if whole {
+		urgency = storage.Urgent
+	}
+	j.storing = h.c.callState(r, urgency, stateTimeout, func(reply *storage.Reply) {
 		j.storing = false
 		j.storeAt = h.c.now + 300*micros.Millisecond
 		if reply.Outcome != storage.OK {
@@ -1070,7 +1074,7 @@
 			Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token},
 				{Key: h.c.keys.Block(name), Version: h.c.replica.Blocks[name].Version}},
 			Puts: []storage.Put{{Key: h.c.keys.Block(name), Value: storage.Encode(marked[name])}},
-		}, true, stateTimeout, func(*storage.Reply) { h.marking[name] = h.c.now + markPace }) {
+		}, storage.Urgent, stateTimeout, func(*storage.Reply) { h.marking[name] = h.c.now + markPace }) {
 			h.marking[name] = h.c.now + markPace
 			break
 		}
@@ -1237,7 +1241,7 @@
 		Puts: []storage.Put{{Key: key, Value: storage.Encode(moved)},
 			{Key: c.keys.Block(b.Value.Block), Value: storage.Encode(rest.Value.Without(m.id))},
 			{Key: c.keys.Queue(h.queue), Value: storage.Encode(from.Value)}, {Key: c.keys.Queue(s.To), Value: storage.Encode(to.Value)}},
-	}, false, stateTimeout, func(r *storage.Reply) {
+	}, storage.Patient, stateTimeout, func(r *storage.Reply) {
 		// Without a clear no, the move may still happen: the machine stays drained
 		// here until the stream tells.
 		if r.Outcome == storage.Conflict || r.Outcome == storage.Refused {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -112,7 +112,7 @@
 			storage.Condition{Key: c.keys.Node(m), Version: c.replica.Nodes[m].Version})
 		r.Puts = append(r.Puts, storage.Put{Key: c.keys.Queue(a.Queue), Value: storage.Encode(a.Record)})
 	}
-	l.assigning = c.callState(r, true, stateTimeout, func(*storage.Reply) {
+	l.assigning = c.callState(r, storage.Urgent, stateTimeout, func(*storage.Reply) {
 		l.assigning = false
 		l.assignAt = c.now + 300*micros.Millisecond
 	})
@@ -261,7 +261,7 @@
 			r.Puts = append(r.Puts, storage.Put{Key: c.keys.Block(name), Value: storage.Encode(rest)})
 		}
 		l.removing[name] = c.now + stateTimeout + micros.Second
-		if !c.callState(r, false, stateTimeout, func(*storage.Reply) { l.removing[name] = c.now + 500*micros.Millisecond }) {
+		if !c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) { l.removing[name] = c.now + 500*micros.Millisecond }) {
 			delete(l.removing, name)
 			return
 		}
@@ -335,7 +335,7 @@
 		l.adoptAt = c.now + stateTimeout + micros.Second
 		c.log(levelInfo, "machines adopted", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", len(b.Machines), "queue", b.Queue)
 		// One at a time: a machine must not come into two blocks.
-		if !c.callState(r, true, stateTimeout, func(*storage.Reply) { l.adoptAt = c.now + adoptPace }) {
+		if !c.callState(r, storage.Urgent, stateTimeout, func(*storage.Reply) { l.adoptAt = c.now + adoptPace }) {
 			l.adoptAt = c.now + adoptPace
 		}
 		return
@@ -492,7 +492,7 @@
 	if c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{c.asLeader(), {Key: key}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(rec)}},
-	}, true, stateTimeout, func(reply *storage.Reply) {
+	}, storage.Urgent, stateTimeout, func(reply *storage.Reply) {
 		delete(l.renting, name)
 		if reply.Outcome == storage.OK {
 			c.rent(name, rec, reply.Revision)
@@ -546,7 +546,7 @@
 		delete(l.renting, name)
 		l.retry[name] = c.now + 200*micros.Millisecond // the same name gives the same answer
 	}
-	if !c.callState(r, true, stateTimeout, func(reply *storage.Reply) {
+	if !c.callState(r, storage.Urgent, stateTimeout, func(reply *storage.Reply) {
 		again()
 		if reply.Outcome == storage.OK {
 			l.closed = max(l.closed, reply.Revision)
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -56,7 +56,7 @@
 	}
 	if c.permit == 0 {
 		sent := c.now
-		c.permitCall = c.callState(&storage.Request{Kind: storage.Grant, TTL: c.permitTTL()}, true, stateTimeout, func(r *storage.Reply) {
+		c.permitCall = c.callState(&storage.Request{Kind: storage.Grant, TTL: c.permitTTL()}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 			c.permitCall = false
 			if r.Outcome == storage.OK && r.Lease != 0 {
 				c.permit, c.permitAt = r.Lease, sent
@@ -70,7 +70,7 @@
 		return
 	}
 	sent, permit := c.now, c.permit
-	c.permitCall = c.callState(&storage.Request{Kind: storage.Touch, Lease: permit}, true, c.permitTTL()/3, func(r *storage.Reply) {
+	c.permitCall = c.callState(&storage.Request{Kind: storage.Touch, Lease: permit}, storage.Urgent, c.permitTTL()/3, func(r *storage.Reply) {
 		c.permitCall = false
 		switch r.Outcome {
 		case storage.OK:
@@ -99,7 +99,7 @@
 		c.listAt = c.now + 200*micros.Millisecond
 	}
 	sent := c.now
-	if !c.callState(&storage.Request{Kind: storage.List, Key: c.keys.Prefix, After: after, Limit: 500}, true, 4*micros.Second, func(r *storage.Reply) {
+	if !c.callState(&storage.Request{Kind: storage.List, Key: c.keys.Prefix, After: after, Limit: 500}, storage.Urgent, 4*micros.Second, func(r *storage.Reply) {
 		if r.Outcome != storage.OK || (r.More && len(r.Items) == 0) {
 			fail()
 			return
@@ -153,7 +153,7 @@
 	sent := c.now
 	wait := micros.Second
 	c.watching = c.callState(&storage.Request{Kind: storage.Watch, Key: c.keys.Prefix, Revision: c.replica.Revision, Wait: wait},
-		true, wait+3*micros.Second, func(r *storage.Reply) {
+		storage.Urgent, wait+3*micros.Second, func(r *storage.Reply) {
 			c.watching = false
 			switch r.Outcome {
 			case storage.OK:
@@ -228,7 +228,7 @@
 	c.registerCall = c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key, Version: c.replica.Nodes[c.proc.Member].Version}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(c.proc), Lease: c.permit}},
-	}, true, stateTimeout, func(r *storage.Reply) {
+	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 		c.registerCall = false
 		c.registerAt = c.now + 300*micros.Millisecond
 		if r.Outcome == storage.NoLease {
@@ -249,7 +249,7 @@
 	c.campaignCall = c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: c.keys.Leader(), Version: c.replica.Leader.Version}},
 		Puts:       []storage.Put{{Key: c.keys.Leader(), Value: storage.Encode(c.proc), Lease: c.permit}},
-	}, true, stateTimeout, func(r *storage.Reply) {
+	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 		c.campaignCall = false
 		c.campaignAt = c.now + 300*micros.Millisecond
 		if r.Outcome == storage.NoLease {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -88,12 +88,10 @@
 	}
 	in.Job.Submitted = c.wall
 	key := c.keys.Job(id)
-	// Within the budget: a burst of submissions that overdrew it would have the
-	// state service refuse what the leader and the holders write.
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(in.Job)}},
-	}, false, stateTimeout, func(r *storage.Reply) {
+	}, storage.Prompt, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
 		case storage.OK:
 			c.answer(Answer{Request: req, Kind: Accepted, Job: JobView{ID: id}})
@@ -148,7 +146,7 @@
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key, Version: e.Version}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(gone)}},
-	}, true, stateTimeout, func(r *storage.Reply) {
+	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 		switch {
 		case r.Outcome == storage.OK:
 			c.answer(Answer{Request: in.Request, Kind: View, Job: JobView{ID: in.ID, Phase: bookkeeping.Cancelled}})
--- a/internal/storage/request.go
+++ b/internal/storage/request.go
@@ -86,8 +86,7 @@
 }
 
 // Budget is a token bucket for requests and another for changes, of which this
-// controller has its share: an even one, and what the others leave unused. A
-// request that must not wait may overdraw it by as much again.
+// controller has its share: an even one, and what the others leave unused.
 type Budget struct {
 	total, writeTotal int64 // thousandths a second, of all controllers
 	fair, writeFair   int64 // an even share
@@ -121,8 +120,21 @@
 // Recent is what was used here of late.
 func (b *Budget) Recent() Usage { return b.recent }
 
+// Urgency is how far a request may overdraw the budget.
+type Urgency uint8
+
+// Patient requests wait for their turn; Prompt ones, users' that are refused
+// otherwise, may overdraw the budget by half a second's worth, Urgent ones by a
+// whole: three controllers that overdraw by that much for their users at once have
+// the service refuse what the leader and the holders write.
+const (
+	Patient Urgency = iota
+	Prompt
+	Urgent
+)
+
 // Take reports whether a request with so many changes may be sent now.
-func (b *Budget) Take(now micros.Time, writes int, urgent bool) bool {
+func (b *Budget) Take(now micros.Time, writes int, u Urgency) bool {
 	if dt := min(now-b.at, micros.Second); dt > 0 {
 		b.left = min(b.rate, b.left+b.rate*dt/micros.Second)
 		b.writeLeft = min(max(b.writeRate, 12_000), b.writeLeft+b.writeRate*dt/micros.Second)
@@ -133,10 +145,7 @@
 		b.used, b.writeUsed, b.usedAt = 0, 0, now
 	}
 	need, needWrites := int64(1000), int64(writes)*1000
-	floor, writeFloor := int64(0), int64(0)
-	if urgent {
-		floor, writeFloor = -b.rate, -b.writeRate
-	}
+	floor, writeFloor := -b.rate*int64(u)/2, -b.writeRate*int64(u)/2
 	if b.left-need < floor || (writes > 0 && b.writeLeft-needWrites < writeFloor) {
 		return false
 	}
