--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -173,7 +173,6 @@
 		deadline = 2 * p
 	}
 	q.Due = h.c.now - age + deadline
-	q.Weight *= h.hope(j, age+p)
 	if j.Deadline > 0 {
 		// A job is done with its slowest task: the slack has to do for that one.
 		q.Due -= micros.Time(float64(p) * (h.c.stats.Spread(j.Class) - 1) / 2)
@@ -181,33 +180,6 @@
 	return q
 }
 
-// hope is the part of the objectives for a job's class that it can still meet if it
-// takes so long. Exception to the design: by the index, work that is late for good
-// comes before all that still has slack, and makes that late too.
-func (h *holder) hope(j *job, takes micros.Time) float64 {
-	if j.Deadline == 0 {
-		return 1
-	}
-	all, left := 0, 0
-	for _, o := range h.c.cfg.Settings.Objectives {
-		if o.Kind != "deadline" || o.Class != j.Class {
-			continue
-		}
-		all++
-		if takes <= micros.Time(float64(j.Deadline)*max(1, o.Times)) {
-			left++
-		}
-	}
-	if all == 0 {
-		return 1
-	}
-	return max(hopeless, float64(left)/float64(all))
-}
-
-// hopeless is what the weight of a job is multiplied with that can meet no
-// objective any more.
-const hopeless = 0.125
-
 // trust is how many completed tasks of a job weigh as much as its estimate.
 const trust = 2
 
