Exhausted offers: ask for what was given back, and a few now and then; cloud limit kept

Cause: of the first 30 s, ten went by with rentals of offers that the cloud had none of, one round after the other, each counted as if it served the need. What is free of an exhausted offer is now what was given back since; after a pause four are asked for.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -49,34 +49,66 @@
 	Count int
 }
 
-// Exhausted remembers refused offers for a while.
+// Exhausted remembers which offers the cloud has no more of. What is known to be
+// free of such an offer is what was given back since; beyond that a few machines
+// are asked for now and then.
 type Exhausted struct {
 	until map[Offer]micros.Time
 	step  map[Offer]micros.Time
+	free  map[Offer]int
 }
 
-// Pauses after a refusal: doubled at every further one.
 const (
+	// Pauses after a refusal: doubled at every further one.
 	firstPause = 4 * micros.Second
 	lastPause  = 16 * micros.Second
+	// tryCount is how many machines are asked for after a pause: it must not look as
+	// if the need were served by an offer that is most likely still exhausted.
+	tryCount = 4
+	// Unlimited is the limit of an offer that was not refused.
+	Unlimited = 1 << 30
 )
 
 // NewExhausted remembers nothing yet.
 func NewExhausted() *Exhausted {
-	return &Exhausted{until: map[Offer]micros.Time{}, step: map[Offer]micros.Time{}}
+	return &Exhausted{until: map[Offer]micros.Time{}, step: map[Offer]micros.Time{}, free: map[Offer]int{}}
 }
 
 // Refuse notes that the cloud had too few of the offer.
 func (e *Exhausted) Refuse(o Offer, now micros.Time) {
 	e.step[o] = min(lastPause, max(firstPause, 2*e.step[o]))
 	e.until[o] = now + e.step[o]
+	e.free[o] = 0
 }
 
-// Grant notes that the cloud had what was asked for.
-func (e *Exhausted) Grant(o Offer) { delete(e.step, o) }
+// Grant notes that the cloud had as many as were asked for.
+func (e *Exhausted) Grant(o Offer, count int) {
+	delete(e.step, o)
+	if n, ok := e.free[o]; ok && n > count {
+		e.free[o] = n - count
+	} else {
+		delete(e.free, o)
+	}
+}
 
-// Now tells whether the offer is not to be tried yet.
-func (e *Exhausted) Now(o Offer, now micros.Time) bool { return now < e.until[o] }
+// Gone notes that a machine of the offer is gone.
+func (e *Exhausted) Gone(o Offer) {
+	if n, ok := e.free[o]; ok {
+		e.free[o] = n + 1
+	}
+}
+
+// Limit is how many machines of the offer may be asked for now.
+func (e *Exhausted) Limit(o Offer, now micros.Time) int {
+	n, ok := e.free[o]
+	switch {
+	case !ok:
+		return Unlimited
+	case n == 0 && now >= e.until[o]:
+		return tryCount
+	}
+	return n
+}
 
 // room is a rented machine being filled.
 type room struct {
@@ -94,10 +126,13 @@
 // services that wait for it.
 const urgentBoot = 15 * micros.Second
 
+// perOffer is how many machines of one offer are rented in one round.
+const perOffer = 40
+
 // Choose rents for the needs, in their order, what costs least a task over boot
 // and use, at most limit machines in all. Room left on a machine chosen for one
 // need is used for the next.
-func Choose(needs []Need, catalog bookkeeping.Catalog, exhausted func(Offer) bool, limit int) []Rental {
+func Choose(needs []Need, catalog bookkeeping.Catalog, most func(Offer) int, limit int) []Rental {
 	types := make([]*bookkeeping.MachineType, 0, len(catalog))
 	for _, t := range catalog {
 		types = append(types, t)
@@ -115,6 +150,9 @@
 			}
 		}
 		taken := map[Offer]bool{}
+		for _, r := range rooms {
+			taken[r.Offer] = countOf(rooms, r.Offer) >= min(most(r.Offer), perOffer)
+		}
 		for left > 0 && len(rooms) < limit {
 			best, bestCost := (*room)(nil), 0.0
 			for _, t := range types {
@@ -125,7 +163,7 @@
 				for _, zone := range t.Zones {
 					for _, spot := range []bool{true, false} {
 						o := Offer{t.Name, zone, spot}
-						if !n.Allows(o) || exhausted(o) || taken[o] {
+						if !n.Allows(o) || taken[o] || most(o) == 0 {
 							continue
 						}
 						price := t.Price
@@ -148,8 +186,8 @@
 			if best == nil {
 				break
 			}
-			// One of each offer a turn: what the cloud has of it shows in its answer.
-			if countOf(rooms, best.Offer) >= 40 {
+			// Not all on one offer: what the cloud has of it shows in its answer only.
+			if countOf(rooms, best.Offer)+1 >= min(most(best.Offer), perOffer) {
 				taken[best.Offer] = true
 			}
 			k := min(left, n.Each.Count(best.free))
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -35,6 +35,8 @@
 	adoptAt    micros.Time
 	closed     uint64 // revision at which the last rental became a block
 	rentAt     micros.Time
+	cloudLeft  float64 // rentals that may be sent
+	cloudAt    micros.Time
 	exhausted  *fleet.Exhausted
 	shifts     map[string][]Shift
 	shiftAt    micros.Time
@@ -232,6 +234,9 @@
 // machineGone notes proof that a machine is gone.
 func (c *Core) machineGone(m string) {
 	c.leader.gone[m] = c.now
+	if v, ok := c.replica.Machines[m]; ok {
+		c.leader.exhausted.Gone(fleet.Offer{Type: v.Value.Type, Zone: v.Value.Zone, Spot: v.Value.Spot})
+	}
 	delete(c.leader.deleting, m)
 	for _, n := range sortedKeys(c.holders) {
 		c.holders[n].machineGone(m)
@@ -430,6 +435,10 @@
 
 func b0(c *Core, id string) int { return c.replica.Machines[id].Value.Queue }
 
+// rentPace is how long a round waits after the last one, unless that was refused
+// something.
+const rentPace = 700 * micros.Millisecond
+
 // maxRound bounds the machines rented for one look at the needs.
 const maxRound = 200
 
@@ -468,9 +477,9 @@
 		for _, n := range needs {
 			c.log(levelDebug, "need", "queue", q.Queue, "count", n.Count, "cpu", n.Each.CPU, "service", n.Service, "urgent", n.Urgent)
 		}
-		exhausted := func(o fleet.Offer) bool { return l.exhausted.Now(o, c.now) }
-		for _, r := range fleet.Choose(needs, c.catalog, exhausted, maxRound/max(1, len(statuses))) {
-			for r.Count > 0 {
+		most := func(o fleet.Offer) int { return l.exhausted.Limit(o, c.now) }
+		for _, r := range fleet.Choose(needs, c.catalog, most, maxRound/max(1, len(statuses))) {
+			for r.Count > 0 && c.takeCloud() {
 				part := r
 				part.Count = min(r.Count, storage.MaxBlock)
 				c.charter(q.Queue, part)
@@ -478,7 +487,21 @@
 			}
 		}
 	}
-	l.rentAt = c.now + 700*micros.Millisecond
+	l.rentAt = c.now + rentPace
+}
+
+// takeCloud keeps rentals within the greater part of the cloud's limit; lists,
+// deletions and the siblings' calls have the rest.
+func (c *Core) takeCloud() bool {
+	l := &c.leader
+	rate := c.cfg.Settings.Cloud.RPS * 0.6
+	l.cloudLeft = min(rate, l.cloudLeft+rate*micros.Seconds(c.now-l.cloudAt))
+	l.cloudAt = c.now
+	if l.cloudLeft < 1 {
+		return false
+	}
+	l.cloudLeft--
+	return true
 }
 
 // charter writes a rental down before it is sent, as a block without machines, so
@@ -513,8 +536,9 @@
 		case CloudOK, CloudNoCapacity:
 			if len(r.Names) < rec.Want {
 				l.exhausted.Refuse(offer, c.now)
+				l.rentAt = c.now // what was missing may be had elsewhere
 			} else {
-				l.exhausted.Grant(offer)
+				l.exhausted.Grant(offer, rec.Want)
 			}
 			c.log(levelInfo, "rented", "charter", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "asked", rec.Want, "got", len(r.Names))
 			c.closeCharter(name, rec, version, r.Names)
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -82,7 +82,11 @@
 	for _, r := range arrays {
 		needs = append(needs, h.placeArray(r, machines, &left)...)
 	}
-	h.needs = mergeNeeds(needs)
+	needs = mergeNeeds(needs)
+	if len(needs) > 0 && !slices.EqualFunc(needs, h.needs, sameNeed) {
+		h.c.statusUp = true // the leader is to hear of them soon
+	}
+	h.needs = needs
 	if !silent {
 		// Jobs that wait for the last silent machine have no needs yet, and will.
 		h.returnIdle()
@@ -773,6 +777,10 @@
 	return n
 }
 
+func sameNeed(a, b fleet.Need) bool {
+	return a.Count == b.Count && a.Each == b.Each && a.Service == b.Service && a.Urgent == b.Urgent
+}
+
 func mergeNeeds(needs []fleet.Need) []fleet.Need {
 	var out []fleet.Need
 	for _, n := range needs {
