--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -33,9 +33,6 @@
 	calmAt   micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
-	planned    micros.Time // planned waits of the array tasks in this plan, added up
-	plannedN   int
-	delay      micros.Time // their mean of late
 	fleetAt    micros.Time
 	mergedAt   micros.Time            // last look at surplus machines
 	movedAt    micros.Time            // last move of a replica
--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -40,8 +40,6 @@
 	Now    micros.Time
 	Zone   string         // "": any; the zone that a one-zone job already has
 	InZone map[string]int // tasks of the job by zone
-	// Again is how long a task that is lost with its machine waits for a new start.
-	Again micros.Time
 	// Pack is how many replicas a machine takes before others are preferred.
 	Pack int
 	// Allowed tells further conditions on a machine; nil: none.
@@ -80,20 +78,20 @@
 	}
 	c := candidate{slot: Slot{Machine: m, Start: start, Length: length}, ready: start + fetch, ok: true}
 	if length < Forever {
-		c.slot.Tardiness = expectedTardiness(r.Weight, start+length, r.Due, length, r.Again, m.LossRate)
+		c.slot.Tardiness = expectedTardiness(r.Weight, start+length, r.Due, length, m.LossRate)
 	}
 	return c
 }
 
 // expectedTardiness weighs in that a machine may be taken while the task runs: on
-// average half way, and then it waits to start anew.
-func expectedTardiness(w float64, finish, due, length, again micros.Time, lossRate float64) float64 {
+// average half way, and then it starts anew.
+func expectedTardiness(w float64, finish, due, length micros.Time, lossRate float64) float64 {
 	t := Tardiness(w, finish, due)
 	if lossRate <= 0 {
 		return t
 	}
 	lost := -math.Expm1(-lossRate * micros.Seconds(length))
-	return t + lost*(Tardiness(w, finish+length/2+again, due)-t)
+	return t + lost*(Tardiness(w, finish+length/2, due)-t)
 }
 
 // tie is the grain of time within which two gaps count as equally early: a grid,
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -78,14 +78,10 @@
 	}
 	needs = append(needs, h.spare()...)
 	h.placeFirst(arrays, machines)
-	h.planned, h.plannedN = 0, 0
 	left := planTasks
 	for _, r := range arrays {
 		needs = append(needs, h.placeArray(r, machines, &left)...)
 	}
-	if h.plannedN > 0 {
-		h.delay += (h.planned/micros.Time(h.plannedN) - h.delay) / 16
-	}
 	needs = mergeNeeds(needs)
 	if len(needs) > 0 && !slices.EqualFunc(needs, h.needs, sameNeed) {
 		h.c.statusUp = true // the leader is to hear of them soon
@@ -277,7 +273,7 @@
 // request is the planner's request for one job.
 func (h *holder) request(r ranked, count int) *plan.Request {
 	j := r.j
-	q := &plan.Request{Job: j.Job, Weight: r.q.Weight, P: r.q.P, Due: r.q.Due, Count: count, Now: h.c.now, InZone: map[string]int{}, Pack: h.pack(), Again: h.silence() + h.delay}
+	q := &plan.Request{Job: j.Job, Weight: r.q.Weight, P: r.q.P, Due: r.q.Due, Count: count, Now: h.c.now, InZone: map[string]int{}, Pack: h.pack()}
 	for _, a := range j.live {
 		q.InZone[a.m.block.Zone]++
 		if j.OneZone {
@@ -470,8 +466,6 @@
 	}
 	placed := plan.Place(h.request(r, count), machines, func(s plan.Slot) {
 		m := h.machines[s.Machine.Key]
-		h.planned += max(0, s.Start-now)
-		h.plannedN++
 		if s.Machine.Up && s.Start <= now {
 			h.start(j, m, s.Length)
 			return
