--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -332,13 +332,13 @@
 	count := min(j.waiting.Len(), h.allowance(j))
 	placed := plan.Place(h.request(r, count), machines, func(s plan.Slot) {
 		m := h.machines[s.Machine.Key]
-		if s.Machine.Up && s.Start <= h.c.now && (h.byImage(r, m) || h.start(j, m, plan.Forever)) {
+		if s.Machine.Up && s.Start <= h.c.now && h.start(j, m, plan.Forever) {
 			return
 		}
-		h.makeRoom(j, s.Start, 0)
+		h.makeRoom(j, s.Start)
 	})
 	for range count - placed {
-		h.makeRoom(j, micros.Max, 0)
+		h.makeRoom(j, micros.Max)
 	}
 	if missing := count - placed; missing > 0 {
 		n := h.need(j, missing)
@@ -359,36 +359,10 @@
 	return n
 }
 
-// byImage starts a replica where its image is, in the place of work of lower
-// priority that began just now, if on the machine of its gap the fetch alone would
-// make it miss what is wanted of its start.
-func (h *holder) byImage(r ranked, m *machine) bool {
-	j := r.j
-	if m.hasImage(j.Image) || m.kind.FetchGBps <= 0 {
-		return false
-	}
-	within := micros.Time(0)
-	for _, o := range h.c.cfg.Settings.Objectives {
-		if (o.Kind == "wait" && o.Class == j.Class) || (o.Kind == "guarantee" && r.guaranteed) {
-			if w := micros.FromSeconds(o.WithinS); within == 0 || w < within {
-				within = w
-			}
-		}
-	}
-	age := h.c.wall - j.Submitted
-	fetch := micros.FromSeconds(j.ImageGB / m.kind.FetchGBps)
-	if age+fetch < within || age+micros.Second > within {
-		return false // in time all the same, or late already
-	}
-	return h.makeRoom(j, micros.Max, within)
-}
-
 // makeRoom stops work of lower priority for a task that otherwise would wait
 // until a time, and starts the task in its place. Exception to the design: the
-// paper's tasks are not preempted, but services must not wait for arrays. With
-// mostLost above 0, only on a machine that has the image, and only if no more work
-// than that is lost.
-func (h *holder) makeRoom(j *job, until, mostLost micros.Time) bool {
+// paper's tasks are not preempted, but services must not wait for arrays.
+func (h *holder) makeRoom(j *job, until micros.Time) bool {
 	now := h.c.now
 	if until-now < micros.Second || j.waiting.Len() == 0 {
 		return false
@@ -398,7 +372,7 @@
 	bestCost := 0.0
 	for _, m := range h.machines {
 		if m.kind == nil || !h.usable(m) || m.pause > now || !j.AllowsType(m.block.Type) || (j.Zone != "" && j.Zone != m.block.Zone) ||
-			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) || (mostLost > 0 && !m.hasImage(j.Image)) {
+			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) {
 			continue
 		}
 		free := m.kind.Capacity
@@ -425,7 +399,7 @@
 			cost += micros.Seconds(h.lost(a)) + 1
 			take = append(take, a)
 		}
-		if !j.Need.Fits(free) || (mostLost > 0 && cost > micros.Seconds(mostLost)+1) {
+		if !j.Need.Fits(free) {
 			continue
 		}
 		if !m.hasImage(j.Image) && m.kind.FetchGBps > 0 {
