--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -471,7 +471,10 @@
 			return
 		}
 		// A machine rented now helps only tasks that would start after its boot.
-		if s.Start+s.Length > r.q.Due && s.Start > now+boot {
+		// It is rented before a slot is surely too late: the slots are reckoned with
+		// estimates, and a fleet that is rented when these have shown to be too low
+		// comes a boot and a backlog too late.
+		if s.Start+s.Length*3/2 > r.q.Due && s.Start > now+boot {
 			tardy++
 		}
 	})
