--- /dev/null
+++ b/internal/coordination/bench_test.go
@@ -0,0 +1,159 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+const benchSettings = `member = "n0"
+listen = "10.0.0.1:1"
+internal_addr = "10.0.0.1:2"
+[services]
+cloud = "10.2.0.2:1"
+state = "10.2.0.1:1"
+[settings]
+nodes = 1
+[[settings.teams]]
+name = "alpha"
+[settings.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 35.0
+[settings.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 12
+[settings.cloud]
+rps = 8.0
+[settings.machine_limits]
+memory_mb = 125.0
+max_connections = 1000
+`
+
+// newLarge is a core that leads and holds a queue of 400 machines, each with eight
+// running tasks of 40 jobs, and 40 jobs more that wait.
+func newLarge(b *testing.B) (*Core, []*Report) {
+	cfg, err := config.Parse([]byte(benchSettings), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := New(cfg, "1")
+	c.catalog = bookkeeping.Catalog{"m": {Name: "m", Zones: []string{"a"}, Capacity: bookkeeping.Resources{CPU: 32_000, Mem: 256_000},
+		Price: 2, SpotPrice: 1, FetchGBps: 0.5, Boot: 30 * micros.Second}}
+	r := storage.NewReplica(c.keys)
+	version := uint64(0)
+	put := func(key string, v any) {
+		version++
+		raw, err := json.Marshal(v)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, _, err := r.Apply(storage.Item{Key: key, Value: raw, Version: version}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	job := func(n int) string { return fmt.Sprintf("wk-%06d", n) }
+	for i := range 80 {
+		put(c.keys.Job(job(i)), &bookkeeping.Job{ID: job(i), Class: "c", Team: "alpha", Tasks: 80, Need: bookkeeping.Resources{CPU: 4000, Mem: 4000},
+			Estimate: 60 * micros.Second, Deadline: 160 * micros.Second, Spot: true, Image: "i"})
+	}
+	var reports []*Report
+	for k := range 8 {
+		machines := map[string]storage.MachineRecord{}
+		for i := range 50 {
+			m := fmt.Sprintf("vm-%06d", k*50+i)
+			machines[m] = storage.MachineRecord{Address: "10.1.0.1:9000", Used: true}
+			rep := &Report{Machine: m, Address: "10.1.0.1:9000", Type: "m", Zone: "a", Session: 1, Notice: -1}
+			for t := range 8 {
+				n := (k*50+i)*8 + t
+				rep.Tasks = append(rep.Tasks, TaskReport{AttemptID: AttemptID{Job: job(n / 80), Task: n % 80, Number: uint64(n + 1)}, State: Running})
+			}
+			reports = append(reports, rep)
+		}
+		put(c.keys.Block(fmt.Sprint("b", k)), storage.BlockRecord{Type: "m", Zone: "a", Machines: machines})
+	}
+	put(c.keys.Node("n0"), c.proc)
+	put(c.keys.Leader(), c.proc)
+	put(c.keys.Queue(0), storage.QueueRecord{Holder: c.proc})
+	r.Revision = version
+	c.now = micros.Second
+	c.out = &Output{}
+	c.adoptReplica(r, 0)
+	c.term.Confirm(c.now)
+	for _, rep := range reports {
+		rep.Token = version
+	}
+	return c, reports
+}
+
+// BenchmarkReport takes a report of each of 400 machines, the work that comes
+// every report time.
+func BenchmarkReport(b *testing.B) {
+	c, reports := newLarge(b)
+	b.ReportAllocs()
+	now := 2 * micros.Second
+	for b.Loop() {
+		now += 1500 * micros.Millisecond
+		c.term.Confirm(now)
+		c.tickAt = now // reports alone, without the timers
+		for _, r := range reports {
+			r.Seq++
+			c.Step(now, now, &ReportIn{Request: 1, Report: r})
+		}
+	}
+	if n := len(c.holders[0].machines[0].attempts); n != 8 {
+		b.Fatal("attempts", n)
+	}
+}
+
+// BenchmarkPlan plans the waiting jobs on the 400 machines.
+func BenchmarkPlan(b *testing.B) {
+	c, reports := newLarge(b)
+	b.ReportAllocs()
+	now := 2 * micros.Second
+	for _, r := range reports {
+		r.Seq++
+		c.tickAt = now
+		c.Step(now, now, &ReportIn{Request: 1, Report: r})
+	}
+	h := c.holders[0]
+	for _, m := range h.machines {
+		m.kind = c.catalog["m"]
+	}
+	for b.Loop() {
+		now += planPace
+		for _, m := range h.machines {
+			m.seen = now
+		}
+		c.now, c.wall, c.out = now, now, &Output{}
+		h.dirty = true
+		h.schedule()
+	}
+	if len(h.planMachines()) != 400 || len(h.needs) == 0 {
+		b.Fatal("nothing to plan")
+	}
+}
+
+// BenchmarkPoll answers a poll of a finished job, and of one that is active.
+func BenchmarkPoll(b *testing.B) {
+	c, _ := newLarge(b)
+	b.ReportAllocs()
+	now := 2 * micros.Second
+	for b.Loop() {
+		now += micros.Millisecond
+		c.term.Confirm(now)
+		c.tickAt = now
+		c.Step(now, now, &Lookup{Request: 1, ID: "wk-000001"})
+		for _, w := range c.waiting {
+			w.then(true)
+		}
+		c.waiting = nil
+	}
+}
