--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -803,6 +803,13 @@
 // the cloud is well.
 const returnPatience = 5 * micros.Second
 
+const (
+	// idleReserve is how many idle machines are kept for the usual time at least.
+	idleReserve = 4
+	// surplusKeep is how long those beyond the reserve are kept.
+	surplusKeep = 5 * micros.Second
+)
+
 // returnIdle gives machines back that have had no task for a while and are not
 // part of the spare room for services.
 func (h *holder) returnIdle() {
@@ -814,6 +821,18 @@
 			return
 		}
 	}
+	// Of many that are idle only a reserve is worth the usual time.
+	var idle []micros.Time
+	for _, m := range h.machines {
+		if h.usable(m) && m.idle != 0 {
+			idle = append(idle, m.idle)
+		}
+	}
+	slices.Sort(idle)
+	surplus := micros.Time(0) // idle since before then: beyond the reserve
+	if n := len(idle) - max(idleReserve, len(h.machines)/8); n > 0 {
+		surplus = idle[n-1]
+	}
 	for _, m := range h.machines {
 		keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
 		if !m.block.Spot {
@@ -825,6 +844,9 @@
 				keep = 3 * m.kind.Boot
 			}
 		}
+		if m.idle <= surplus {
+			keep = min(keep, surplusKeep)
+		}
 		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.empty(m) ||
 			slices.ContainsFunc(h.needs, func(n fleet.Need) bool {
 				return n.Allows(fleet.Offer{Type: m.block.Type, Zone: m.block.Zone, Spot: m.block.Spot})
