--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -33,6 +33,7 @@
 	calmAt   micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
+	knew       bool // all machines are known, or were
 	fleetAt    micros.Time
 	mergedAt   micros.Time            // last look at surplus machines
 	movedAt    micros.Time            // last move of a replica
@@ -579,9 +580,6 @@
 	if m.ack == h.token && !m.known {
 		m.known = true
 		h.dirty = true
-		if !slices.ContainsFunc(h.machines, func(o *machine) bool { return !o.known }) {
-			h.c.log(levelInfo, "all machines known", "queue", h.queue, "after_ms", (h.c.now-h.taken)/micros.Millisecond)
-		}
 	}
 }
 
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -36,6 +36,10 @@
 	}
 	h.planAt, h.dirty = now, false
 	silent := slices.ContainsFunc(h.machines, func(m *machine) bool { return !m.known })
+	if !silent && !h.knew {
+		h.knew = true
+		h.c.log(levelInfo, "all machines known", "queue", h.queue, "after_ms", (now-h.taken)/micros.Millisecond)
+	}
 
 	var services, arrays []ranked
 	var queue []*plan.Queued
