--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -339,10 +339,10 @@
 		if s.Machine.Up && s.Start <= h.c.now && h.start(j, m, plan.Forever) {
 			return
 		}
-		h.makeRoom(j, s.Start, lowerThan(j))
+		h.makeRoom(j, s.Start)
 	})
 	for range count - placed {
-		h.makeRoom(j, micros.Max, lowerThan(j))
+		h.makeRoom(j, micros.Max)
 	}
 	if missing := count - placed; missing > 0 {
 		n := h.need(j, missing)
@@ -363,44 +363,10 @@
 	return n
 }
 
-// lowerThan allows work of lower priority to be stopped for a job.
-func lowerThan(j *job) func(*attempt) bool {
-	return func(a *attempt) bool { return a.j.Priority < j.Priority }
-}
-
-// reclaim gives a job within its team's guarantee the room of array tasks that
-// other teams borrow, where its image is, as long as it can still start in the time
-// that is wanted for such work. Exception to the design, whose tasks are not
-// preempted: what is borrowed must be returned.
-func (h *holder) reclaim(j *job, missing int) {
-	within := micros.Time(0)
-	for _, o := range h.c.cfg.Settings.Objectives {
-		if o.Kind == "guarantee" {
-			within = micros.FromSeconds(o.WithinS)
-		}
-	}
-	if h.c.wall-j.Submitted+micros.Second > within {
-		return
-	}
-	borrowed := func(a *attempt) bool {
-		t := h.c.teams[a.team]
-		return t != nil && a.team != j.Team && a.j.Kind == bookkeeping.Array && a.j.Priority <= j.Priority &&
-			a.m.hasImage(j.Image) && h.lost(a) <= 2*within && !t.Guaranteed(h.usage[a.team].Sub(a.need))
-	}
-	for range min(missing, maxReclaimed) {
-		if !h.makeRoom(j, micros.Max, borrowed) {
-			return
-		}
-	}
-}
-
-// maxReclaimed bounds the tasks that are given room in this way in one plan.
-const maxReclaimed = 8
-
-// makeRoom stops work for a task that otherwise would wait until a time, and
-// starts the task in its place. Exception to the design: the paper's tasks are not
-// preempted, but services must not wait for arrays.
-func (h *holder) makeRoom(j *job, until micros.Time, mayStop func(*attempt) bool) bool {
+// makeRoom stops work of lower priority for a task that otherwise would wait
+// until a time, and starts the task in its place. Exception to the design: the
+// paper's tasks are not preempted, but services must not wait for arrays.
+func (h *holder) makeRoom(j *job, until micros.Time) bool {
 	now := h.c.now
 	if until-now < micros.Second || j.waiting.Len() == 0 {
 		return false
@@ -421,7 +387,7 @@
 				continue
 			}
 			free = free.Sub(a.need)
-			if a.j != nil && !a.stop && mayStop(a) {
+			if a.j != nil && a.j.Priority < j.Priority && !a.stop {
 				lower = append(lower, a)
 			}
 		}
@@ -517,9 +483,6 @@
 		}
 	})
 	*left -= placed
-	if r.guaranteed && j.waiting.Len() > 0 {
-		h.reclaim(j, min(j.waiting.Len(), h.allowance(j)))
-	}
 	short := min(waiting, allowed) - placed + tardy
 	if short <= 0 {
 		return nil
