--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -1012,31 +1012,27 @@
 // is deleted, and only the end of its lease writes one off. Overdue ones count
 // because in a cut the machines fall silent one after the other.
 func (h *holder) manySilent() bool {
-	silent, up := 0, 0
+	silent, up := h.countSilent(func(m *machine) bool { return h.c.now-m.seen > h.silence()*7/10 })
+	return silent > 2 && silent*3 > up
+}
+
+// countSilent counts the machines in use, and those of them that are silent.
+func (h *holder) countSilent(is func(*machine) bool) (silent, up int) {
 	for _, m := range h.machines {
 		if m.session == 0 && !m.block.Used {
 			continue
 		}
 		up++
-		if h.c.now-m.seen > h.silence()*7/10 {
+		if is(m) {
 			silent++
 		}
 	}
-	return silent > 2 && silent*3 > up
+	return silent, up
 }
 
 // deaf tells whether most of the machines are silent.
 func (h *holder) deaf() bool {
-	silent, up := 0, 0
-	for _, m := range h.machines {
-		if m.session == 0 && !m.block.Used {
-			continue
-		}
-		up++
-		if h.c.now-m.seen > h.silence() && m.failed > 0 {
-			silent++
-		}
-	}
+	silent, up := h.countSilent(func(m *machine) bool { return h.c.now-m.seen > h.silence() && m.failed > 0 })
 	return silent > 2 && silent*3 > up*2
 }
 
