--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -489,7 +489,7 @@
 	}
 	// What does not fit in time: so many slots that the waves on new machines end
 	// by the deadline, or, if that is over anyway, all at once.
-	waves := max(1, min(2, (r.q.Due-now-boot)/max(1, r.q.P)))
+	waves := max(1, min(4, (r.q.Due-now-boot)/max(1, r.q.P)))
 	return []fleet.Need{h.need(j, (short+int(waves)-1)/int(waves))}
 }
 
