A holder that loses its workers hands its queue over before their leases end

Found by holder_loses_workers: the leader never took a queue from itself, and the others sent workers back to it, each time for a timeout of four seconds, until their leases ran out: all 10 replicas and 8 tasks began anew. Now the leader avoids itself too, and a holder that said it is deaf is not named.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -380,7 +380,9 @@
 	if h == nil {
 		c.strays[r.Machine] = stray{c.now, b.Value.Queue}
 		q, ok := c.replica.Queues[b.Value.Queue]
-		if ok && q.Value.Holder.Member != c.proc.Member && c.replica.Live(q.Value.Holder) && !c.alone() {
+		// A worker sent back to a holder that cannot hear it would lose the time in
+		// which another could take over before its lease ends.
+		if ok && q.Value.Holder.Member != c.proc.Member && c.replica.Live(q.Value.Holder) && !c.alone() && !c.saidDeaf(b.Value.Queue, q) {
 			c.answer(Answer{Request: in.Request, Kind: Elsewhere, Steward: q.Value.Holder.Member})
 		} else {
 			c.unavailable(in.Request, "no holder")
@@ -390,6 +392,14 @@
 	h.report(in, h.machine(r.Machine))
 }
 
+// saidDeaf tells whether a queue's holder said of late that it does not hear its
+// machines.
+func (c *Core) saidDeaf(queue int, q storage.Versioned[storage.QueueRecord]) bool {
+	p := c.peers[q.Value.Holder.Member]
+	return p != nil && c.now-p.at < 2*micros.Second && p.status.From == q.Value.Holder &&
+		slices.ContainsFunc(p.status.Queues, func(s QueueStatus) bool { return s.Queue == queue && s.Deaf })
+}
+
 func (h *holder) report(in *ReportIn, m *machine) {
 	r := in.Report
 	switch {
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -46,12 +46,17 @@
 }
 
 // Assign is what the leader has to change: every queue without a live holder
-// gets one, the live process with the fewest queues, the leader itself first.
+// gets one, the live process with the fewest queues, the leader itself first. One
+// to avoid, the leader included, gets and keeps none while there is another.
 func Assign(r *storage.Replica, queues int, leader storage.Process, avoid func(storage.Process) bool) []Assignment {
-	live := slices.DeleteFunc(r.LiveNodes(), func(p storage.Process) bool { return p != leader && avoid(p) })
-	if !slices.Contains(live, leader) {
+	all := r.LiveNodes()
+	if !slices.Contains(all, leader) {
 		return nil // our own registration is not in the stream yet
 	}
+	live := slices.DeleteFunc(slices.Clone(all), avoid)
+	if len(live) == 0 {
+		live = all
+	}
 	load := map[storage.Process]int{}
 	usable := func(p storage.Process) bool { return slices.Contains(live, p) }
 	for n := range queues {
@@ -65,7 +70,10 @@
 		if ok && usable(q.Value.Holder) {
 			continue
 		}
-		best := leader
+		best := live[0]
+		if slices.Contains(live, leader) {
+			best = leader
+		}
 		for _, p := range live {
 			if load[p] < load[best] {
 				best = p
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -204,18 +204,20 @@
 	return m
 }
 
-// pick finds machines by name, or "any", "service" or "array" for one with such
-// a task, "spot" for all spot machines.
+// pick finds machines by name, or "any", a job's id for one with a task of it,
+// "spot" for all spot machines, "machines" for all, "third" for every third.
 func (c *cloud) pick(what string) []*machine {
 	if m := c.machines[what]; m != nil {
 		return []*machine{m}
 	}
 	var out []*machine
-	for _, m := range c.sorted() {
+	for i, m := range c.sorted() {
 		if m.gone || !m.booted {
 			continue
 		}
 		switch {
+		case what == "machines", what == "third" && i%3 == 0:
+			out = append(out, m)
 		case what == "spot" && m.spot, what == "all":
 			out = append(out, m)
 		case what == "any", strings.HasPrefix(what, "wk-") && m.runs(what):
