--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -33,7 +33,8 @@
 	calmAt   micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
-	knew       bool // all machines are known, or were
+	oddAt      micros.Time // last report told as not believed
+	knew       bool        // all machines are known, or were
 	fleetAt    micros.Time
 	mergedAt   micros.Time            // last look at surplus machines
 	movedAt    micros.Time            // last move of a replica
@@ -422,6 +423,7 @@
 	if !newer && (r.Session < m.session || r.Seq <= m.floor || h.c.now-m.news > answerPatience || r.Token < m.top) {
 		// A copy of an old report, whose answer reaches nobody, or a worker that
 		// began anew: an answer must neither count nor renew a lease.
+		h.odd("old report", m, r)
 		h.c.unavailable(in.Request, "old report")
 		return
 	}
@@ -543,6 +545,7 @@
 	m.seq, m.news = r.Seq, h.c.now
 	m.top = max(m.top, r.Token)
 	if m.expired {
+		h.odd("of an ended session", m, r)
 		return // sent before its lease ran out, and late: what it shows is gone
 	}
 	if r.Address != "" {
@@ -593,6 +596,18 @@
 	}
 }
 
+// oddEvery bounds what stale and contradictory reports make us log.
+const oddEvery = 5 * micros.Second
+
+// odd tells the operator of a report that is not believed.
+func (h *holder) odd(why string, m *machine, r *Report) {
+	if h.c.now-h.oddAt >= oddEvery || h.oddAt == 0 {
+		h.oddAt = h.c.now
+		h.c.log(levelInfo, "report not believed", "why", why, "machine", m.id, "session", r.Session, "seq", r.Seq, "known_session", m.session,
+			"known_seq", m.seq)
+	}
+}
+
 // restarted gives up a machine whose worker began anew within its lease: its
 // session and seq may be below what was seen, so no order of its reports can be
 // told any more. Its deletion settles what ran there.
--- a/internal/transport/driver.go
+++ b/internal/transport/driver.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"pipitlatch/internal/config"
 	"pipitlatch/internal/coordination"
 	"pipitlatch/internal/micros"
@@ -38,12 +40,15 @@
 
 	clients  *clients
 	siblings *siblings
+
+	badReports rate.Sometimes // bounds what malformed reports make us log
 }
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
 	d := &Driver{cfg: cfg, log: log, start: time.Now(), inputs: make(chan coordination.Input, inputQueue),
-		waiting: map[coordination.RequestID]chan coordination.Answer{}}
+		waiting:    map[coordination.RequestID]chan coordination.Answer{},
+		badReports: rate.Sometimes{First: 3, Interval: 5 * time.Second}}
 	incarnation := rand.Text()
 	d.core = coordination.New(cfg, incarnation)
 	d.clients = newClients(cfg, log)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -165,7 +165,7 @@
 	}
 	rep, err := protocol.ParseReport(b)
 	if err != nil {
-		d.log.Warn("bad report", "err", err, "remote", r.RemoteAddr)
+		d.badReports.Do(func() { d.log.Warn("bad report", "err", err, "remote", r.RemoteAddr) })
 		write(w, http.StatusBadRequest, protocol.EncodeError(err.Error()))
 		return
 	}
