Direct calls, users' connections and planning bounded for fleets of 2,000 machines

Ruled out: HTTP and JSON (1.4 s in the loop). The next plan comes 20 times as late as the last took, as measured by the driver; heap of indices; what found no room is not tried again in a plan; collector at 400 % below the memory limit. Direct calls have an eighth of the sockets, idle ones included; users' connections end with their answer while workers may need them. Decisions are those of the plain reference.

--- a/cmd/pipitlatch/main.go
+++ b/cmd/pipitlatch/main.go
@@ -64,6 +64,8 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel(os.Getenv("LOG_LEVEL"))}))
 	limits := cfg.Settings.MachineLimits
 	debug.SetMemoryLimit(int64(limits.MemoryMB * 1e6 * float64(cfg.Operator.MemoryPercent) / 100))
+	// Below that limit memory is cheaper than the processor time of collections.
+	debug.SetGCPercent(400)
 	if limits.CPU > 0 {
 		// On a share of a core, more threads only add switches.
 		runtime.GOMAXPROCS(max(1, min(runtime.NumCPU(), int(limits.CPU+0.999))))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -242,6 +242,24 @@
 	return errs
 }
 
+// Sockets is how the process's sockets are shared out.
+type Sockets struct {
+	Calls   int // direct calls to workers, idle connections included
+	Service int // calls to state service and cloud
+	Serve   int // workers and users
+}
+
+// Sockets shares max_connections out: what this process opens itself is bounded
+// and small, so that every worker of a fleet finds room for its reports, also
+// when all of them come to one controller.
+func (c *Config) Sockets() Sockets {
+	most := c.Settings.MachineLimits.MaxConnections
+	s := Sockets{Calls: max(2, most/8), Service: min(64, max(4, most/16))}
+	siblings := 1 + 5*len(c.Siblings) // two listeners, one out and a few in for each
+	s.Serve = max(4, most-s.Calls-s.Service-siblings-most/64)
+	return s
+}
+
 // Lease is the worker lease.
 func (c *Config) Lease() micros.Time { return micros.FromSeconds(c.Settings.Workers.LeaseS) }
 
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"testing"
 
 	"pipitlatch/internal/bookkeeping"
@@ -37,9 +38,12 @@
 max_connections = 1000
 `
 
-// newLarge is a core that leads and holds a queue of 400 machines, each with eight
-// running tasks of 40 jobs, and 40 jobs more that wait.
-func newLarge(b *testing.B) (*Core, []*Report) {
+// fleetSizes are the numbers of machines that the benchmarks are run with.
+var fleetSizes = []int{400, 2000}
+
+// newLarge is a core that leads and holds a queue of a number of machines, each
+// with eight running tasks, and has a tenth as many waiting jobs.
+func newLarge(b *testing.B, size int) (*Core, []*Report) {
 	cfg, err := config.Parse([]byte(benchSettings), nil)
 	if err != nil {
 		b.Fatal(err)
@@ -60,12 +64,12 @@
 		}
 	}
 	job := func(n int) string { return fmt.Sprintf("wk-%06d", n) }
-	for i := range 80 {
+	for i := range size / 5 {
 		put(c.keys.Job(job(i)), &bookkeeping.Job{ID: job(i), Class: "c", Team: "alpha", Tasks: 80, Need: bookkeeping.Resources{CPU: 4000, Mem: 4000},
 			Estimate: 60 * micros.Second, Deadline: 160 * micros.Second, Spot: true, Image: "i"})
 	}
 	var reports []*Report
-	for k := range 8 {
+	for k := range size / 50 {
 		machines := map[string]storage.MachineRecord{}
 		for i := range 50 {
 			m := fmt.Sprintf("vm-%06d", k*50+i)
@@ -93,10 +97,16 @@
 	return c, reports
 }
 
-// BenchmarkReport takes a report of each of 400 machines, the work that comes
+// BenchmarkReport takes a report of each machine, the work that comes
 // every report time.
 func BenchmarkReport(b *testing.B) {
-	c, reports := newLarge(b)
+	for _, size := range fleetSizes {
+		b.Run(strconv.Itoa(size), func(b *testing.B) { benchReport(b, size) })
+	}
+}
+
+func benchReport(b *testing.B, size int) {
+	c, reports := newLarge(b, size)
 	b.ReportAllocs()
 	now := 2 * micros.Second
 	for b.Loop() {
@@ -113,9 +123,15 @@
 	}
 }
 
-// BenchmarkPlan plans the waiting jobs on the 400 machines.
+// BenchmarkPlan plans the waiting jobs on the machines.
 func BenchmarkPlan(b *testing.B) {
-	c, reports := newLarge(b)
+	for _, size := range fleetSizes {
+		b.Run(strconv.Itoa(size), func(b *testing.B) { benchPlan(b, size) })
+	}
+}
+
+func benchPlan(b *testing.B, size int) {
+	c, reports := newLarge(b, size)
 	b.ReportAllocs()
 	now := 2 * micros.Second
 	for _, r := range reports {
@@ -136,14 +152,20 @@
 		h.dirty = true
 		h.schedule()
 	}
-	if len(h.planMachines()) != 400 || len(h.needs) == 0 {
+	if len(h.planMachines()) != size || len(h.needs) == 0 {
 		b.Fatal("nothing to plan")
 	}
 }
 
 // BenchmarkPoll answers a poll of a finished job, and of one that is active.
 func BenchmarkPoll(b *testing.B) {
-	c, _ := newLarge(b)
+	for _, size := range fleetSizes {
+		b.Run(strconv.Itoa(size), func(b *testing.B) { benchPoll(b, size) })
+	}
+}
+
+func benchPoll(b *testing.B, size int) {
+	c, _ := newLarge(b, size)
 	b.ReportAllocs()
 	now := 2 * micros.Second
 	for b.Loop() {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -45,7 +45,9 @@
 	catalogSave  bool // a write is out
 	catalogSaved micros.Time
 
-	budget *storage.Budget
+	budget     *storage.Budget
+	workerOut  int // direct calls to workers that are out
+	workerMost int // how many may be, for lack of sockets
 	session
 	barrier
 	holders  map[int]*holder
@@ -57,6 +59,7 @@
 	faults   *fleet.Faults
 	spot     spotLosses
 	strays   map[string]stray // machines of other holders that reported here
+	planned  *holder          // that planned in the last step
 	statusAt micros.Time
 	statusUp bool        // send the status soon
 	okAt     micros.Time // when the state service last answered in time
@@ -95,8 +98,9 @@
 	c := &Core{
 		cfg: cfg, proc: storage.Process{Member: cfg.Member, Incarnation: incarnation},
 		teams: bookkeeping.Teams(cfg), keys: keys, pending: map[uint64]func(any){},
-		budget:  storage.NewBudget(cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.Nodes),
-		holders: map[int]*holder{}, ends: map[storage.Process]micros.Time{},
+		workerMost: max(1, cfg.Sockets().Calls/2), // the other half are idle connections
+		budget:     storage.NewBudget(cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.Nodes),
+		holders:    map[int]*holder{}, ends: map[storage.Process]micros.Time{},
 		peers: map[string]*peerView{}, progress: map[string]JobProgress{},
 		strays: map[string]stray{},
 		stats:  bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
@@ -128,6 +132,15 @@
 	return c.out
 }
 
+// Took tells how long the last step took. The core has no clock; that planning
+// leaves time for everything else is measured outside.
+func (c *Core) Took(d micros.Time) {
+	if c.planned != nil {
+		c.planned.planPause = min(planAnyway, max(planPace, planPart*d))
+	}
+	c.planned = nil
+}
+
 func (c *Core) input(in Input) {
 	switch in := in.(type) {
 	case *Submit:
@@ -178,11 +191,27 @@
 	c.out.Cloud = append(c.out.Cloud, call)
 }
 
+// callWorker sends a direct call; there must be room for it.
 func (c *Core) callWorker(call WorkerCall, done func(*WorkerReply)) {
-	call.Call = c.call(func(v any) { done(v.(*WorkerReply)) })
+	c.workerOut++
+	call.Call = c.call(func(v any) {
+		c.workerOut--
+		done(v.(*WorkerReply))
+	})
 	c.out.Workers = append(c.out.Workers, call)
 }
 
+// roomForCalls is how many direct calls may be sent now. Each takes a socket: to
+// ask or command a whole fleet at once would leave none for the workers' reports.
+// Probes, whose machines often do not answer, leave a third to commands.
+func (c *Core) roomForCalls(probe bool) int {
+	most := c.workerMost
+	if probe {
+		most -= most / 3
+	}
+	return most - c.workerOut
+}
+
 // Log levels, as in log/slog.
 const (
 	levelDebug = -4
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -26,11 +26,14 @@
 	usage    map[string]bookkeeping.Resources // by team
 	counter  uint64
 
-	dirty    bool
-	planAt   micros.Time
-	needs    []fleet.Need
-	lastTick micros.Time
-	calmAt   micros.Time // silence is judged from then on
+	dirty     bool
+	planAt    micros.Time
+	planPause micros.Time        // until the next plan
+	replicas  int                // service tasks, running or not, as of planAt
+	noRoom    map[roomShape]bool // of this plan
+	needs     []fleet.Need
+	lastTick  micros.Time
+	calmAt    micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
 	oddAt      micros.Time // last report told as not believed
@@ -39,6 +42,8 @@
 	mergedAt   micros.Time            // last look at surplus machines
 	movedAt    micros.Time            // last move of a replica
 	load       int64                  // CPU that arrays used of late
+	toProbe    []*machine             // of this tick
+	turn       int                    // counts rounds of sending
 	marking    map[string]micros.Time // blocks whose record of use is being written, or was: not again before
 }
 
@@ -152,7 +157,7 @@
 func newHolder(c *Core, n int, v storage.Versioned[storage.QueueRecord]) *holder {
 	h := &holder{c: c, queue: n, since: v.Version, token: v.Version, former: v.Value.Former, taken: c.now,
 		jobs: map[string]*job{}, usage: map[string]bookkeeping.Resources{}, dirty: true, lastTick: c.now,
-		calmAt: c.now, marking: map[string]micros.Time{}}
+		calmAt: c.now, planPause: planPace, noRoom: map[roomShape]bool{}, marking: map[string]micros.Time{}}
 	for _, id := range sortedKeys(c.replica.Machines) {
 		h.blockChanged(id)
 	}
@@ -475,6 +480,7 @@
 	} else if h.c.now-m.replied < answerPatience-1500*micros.Millisecond {
 		// It goes on at its pace and stays with us: it had our answer.
 		m.seen, m.vain, m.failed = h.c.now, 0, 0
+		m.callAt = 0
 	}
 	m.replied = 0
 }
@@ -917,14 +923,49 @@
 	for _, m := range slices.Clone(h.machines) {
 		h.tickMachine(m)
 	}
+	h.probeSome()
 	h.markUsed()
 	for _, j := range h.order {
 		h.store(j)
 	}
 	h.schedule()
+	h.sendSome()
+}
+
+// sendSome sends what waits for machines: what services and cancellations wait for
+// first, what machines wait for that did not answer last, and of these another
+// first every time.
+func (h *holder) sendSome() {
+	var rest, failing []*machine
 	for _, m := range h.machines {
+		switch {
+		case len(m.outbox) == 0 || m.calling:
+		case m.failed > 0:
+			failing = append(failing, m)
+		case !slices.ContainsFunc(m.outbox, func(c Command) bool { return c.Op == Stop || h.isService(c.Job) }):
+			rest = append(rest, m)
+		case h.c.roomForCalls(false) > 0:
+			h.send(m)
+		}
+	}
+	for _, m := range rest {
+		if h.c.roomForCalls(false) <= 0 {
+			break
+		}
 		h.send(m)
 	}
+	h.turn++
+	for i := range failing {
+		if h.c.roomForCalls(true) <= 0 {
+			break
+		}
+		h.send(failing[(i+h.turn)%len(failing)])
+	}
+}
+
+func (h *holder) isService(id string) bool {
+	j := h.jobs[id]
+	return j != nil && j.Kind == bookkeeping.Service
 }
 
 func (h *holder) tickMachine(m *machine) {
@@ -940,8 +981,7 @@
 		m.expired = true
 	}
 	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (quiet > h.silence()*2/3 || m.ack != h.token) {
-		m.probed = now
-		h.probe(m)
+		h.toProbe = append(h.toProbe, m)
 	}
 	if m.draining == "" {
 		switch {
@@ -1100,10 +1140,23 @@
 	}
 }
 
-// probe asks a machine for its report: directly, under our token once its
-// session is known, so that it acknowledges it.
-func (h *holder) probe(m *machine) {
-	h.callMachine(m, nil, m.session == 0)
+// probeSome asks machines for their reports: directly, under our token once its
+// session is known, so that a machine acknowledges it. The one asked longest ago
+// goes first: many that never answer must not keep the others from being asked.
+func (h *holder) probeSome() {
+	room := h.c.roomForCalls(true)
+	if len(h.toProbe) > room {
+		slices.SortStableFunc(h.toProbe, func(a, b *machine) int { return cmp.Compare(a.probed, b.probed) })
+	}
+	for i, m := range h.toProbe {
+		if i >= room {
+			break
+		}
+		m.probed = h.c.now
+		h.callMachine(m, nil, m.session == 0)
+	}
+	clear(h.toProbe)
+	h.toProbe = h.toProbe[:0]
 }
 
 // send sends what waits for a machine.
@@ -1150,7 +1203,7 @@
 		}
 		if r.Report == nil {
 			m.failed++
-			m.callAt = h.c.now + 300*micros.Millisecond
+			m.callAt = h.c.now + 300*micros.Millisecond<<min(m.failed-1, 3)
 			if m.session == session {
 				// The same attempts again: repeating them is safe.
 				m.outbox = append(h.stillWanted(m, batch), m.outbox...)
--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -87,7 +87,7 @@
 // average half way, and then it starts anew.
 func expectedTardiness(w float64, finish, due, length micros.Time, lossRate float64) float64 {
 	t := Tardiness(w, finish, due)
-	if lossRate <= 0 {
+	if lossRate <= 0 || finish+length/2 <= due {
 		return t
 	}
 	lost := -math.Expm1(-lossRate * micros.Seconds(length))
@@ -103,7 +103,7 @@
 // ready first, then, for a service, a machine that has replicas already, up to a
 // number, and from there on the one with fewer, and for an array the machine that
 // services cannot use, then the fuller one.
-func better(j *bookkeeping.Job, pack int, a, b candidate) bool {
+func better(j *bookkeeping.Job, pack int, a, b *candidate) bool {
 	if !b.ok || !a.ok {
 		return a.ok
 	}
@@ -131,21 +131,25 @@
 	return am.Key < bm.Key
 }
 
-// candidates is a heap of the machines' best gaps for one job, the best on top.
+// candidates is a heap of the machines' best gaps for one job, the best on top. It
+// holds places in a list: most of a plan's time goes into moving its entries.
 type candidates struct {
-	job  *bookkeeping.Job
-	pack int
-	list []candidate
+	job   *bookkeeping.Job
+	pack  int
+	list  []candidate
+	order []int32
 }
 
-func (h *candidates) Len() int           { return len(h.list) }
-func (h *candidates) Less(i, j int) bool { return better(h.job, h.pack, h.list[i], h.list[j]) }
-func (h *candidates) Swap(i, j int)      { h.list[i], h.list[j] = h.list[j], h.list[i] }
-func (h *candidates) Push(x any)         { h.list = append(h.list, x.(candidate)) }
+func (h *candidates) Len() int { return len(h.order) }
+func (h *candidates) Less(i, j int) bool {
+	return better(h.job, h.pack, &h.list[h.order[i]], &h.list[h.order[j]])
+}
+func (h *candidates) Swap(i, j int) { h.order[i], h.order[j] = h.order[j], h.order[i] }
+func (h *candidates) Push(x any)    { h.order = append(h.order, x.(int32)) }
 func (h *candidates) Pop() any {
-	last := len(h.list) - 1
-	x := h.list[last]
-	h.list = h.list[:last]
+	last := len(h.order) - 1
+	x := h.order[last]
+	h.order = h.order[:last]
 	return x
 }
 
@@ -156,17 +160,18 @@
 	if r.Count <= 0 {
 		return 0
 	}
-	h := &candidates{job: r.Job, pack: r.Pack, list: make([]candidate, 0, len(machines))}
+	h := &candidates{job: r.Job, pack: r.Pack, list: make([]candidate, 0, len(machines)), order: make([]int32, 0, len(machines))}
 	for _, m := range machines {
 		if c := r.candidate(m); c.ok {
+			h.order = append(h.order, int32(len(h.list)))
 			h.list = append(h.list, c)
 		}
 	}
 	heap.Init(h)
 	placed := 0
 	limit := r.Job.SpreadLimit()
-	for placed < r.Count && len(h.list) > 0 {
-		c := h.list[0]
+	for placed < r.Count && len(h.order) > 0 {
+		c := &h.list[h.order[0]]
 		m := c.slot.Machine
 		if (r.Zone != "" && m.Zone != r.Zone) || (r.Job.Spread && r.InZone[m.Zone] >= limit) {
 			heap.Pop(h) // the job's tasks placed so far leave it no room there
@@ -184,7 +189,7 @@
 		}
 		out(c.slot)
 		placed++
-		if h.list[0] = r.candidate(m); h.list[0].ok {
+		if *c = r.candidate(m); c.ok {
 			heap.Fix(h, 0)
 		} else {
 			heap.Pop(h)
--- a/internal/coordination/plan/reference_test.go
+++ b/internal/coordination/plan/reference_test.go
@@ -19,7 +19,7 @@
 			if (r.Zone != "" && m.Zone != r.Zone) || (r.Job.Spread && r.InZone[m.Zone] >= r.Job.SpreadLimit()) {
 				continue
 			}
-			if c := r.candidate(m); better(r.Job, r.Pack, c, best) {
+			if c := r.candidate(m); better(r.Job, r.Pack, &c, &best) {
 				best = c
 			}
 		}
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -13,6 +13,9 @@
 const (
 	// planPace bounds how often the timelines are rebuilt.
 	planPace = 100 * micros.Millisecond
+	// planPart bounds the part of the time that is spent on it: the next plan comes
+	// this many times as late as the last one took.
+	planPart = 20
 	// planAnyway is how often they are rebuilt without a change: estimates of
 	// running tasks run out, and slots come due.
 	planAnyway = 1000 * micros.Millisecond
@@ -31,10 +34,18 @@
 // schedule plans the waiting tasks and starts those whose slot is now.
 func (h *holder) schedule() {
 	now := h.c.now
-	if h.c.catalog == nil || now-h.planAt < planPace || (!h.dirty && now-h.planAt < planAnyway) {
+	if h.c.catalog == nil || now-h.planAt < h.planPause || (!h.dirty && now-h.planAt < planAnyway) {
 		return
 	}
 	h.planAt, h.dirty = now, false
+	h.c.planned = h
+	clear(h.noRoom)
+	h.replicas = 0
+	for _, j := range h.jobs {
+		if j.Kind == bookkeeping.Service {
+			h.replicas += j.Tasks
+		}
+	}
 	silent := slices.ContainsFunc(h.machines, func(m *machine) bool { return !m.known })
 	if !silent && !h.knew {
 		h.knew = true
@@ -358,11 +369,20 @@
 		Service: j.Kind == bookkeeping.Service, Hold: micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second}
 	if n.Service {
 		n.Hold *= 4
-		n.Replicas = h.replicas()
+		n.Replicas = h.replicas
 	}
 	return n
 }
 
+// roomShape is what decides where room can be made for a task without further
+// conditions.
+type roomShape struct {
+	need     bookkeeping.Resources
+	priority bookkeeping.Priority
+	zone     string
+	spot     bool
+}
+
 // makeRoom stops work of lower priority for a task that otherwise would wait
 // until a time, and starts the task in its place. Exception to the design: the
 // paper's tasks are not preempted, but services must not wait for arrays.
@@ -371,6 +391,12 @@
 	if until-now < micros.Second || j.waiting.Len() == 0 {
 		return false
 	}
+	// What found no room in this plan finds none again: many services alike wait.
+	shape := roomShape{j.Need, j.Priority, j.Zone, j.Spot}
+	plain := len(j.Types) == 0 && !j.OneZone && !j.Spread
+	if plain && h.noRoom[shape] {
+		return false
+	}
 	var best *machine
 	var victims []*attempt
 	bestCost := 0.0
@@ -414,6 +440,9 @@
 		}
 	}
 	if best == nil {
+		if plain {
+			h.noRoom[shape] = true
+		}
 		return false
 	}
 	saves := false
@@ -771,18 +800,7 @@
 const packShare = 16
 
 // pack is how many replicas a machine takes before others are preferred.
-func (h *holder) pack() int { return h.replicas() / packShare }
-
-// replicas is how many service tasks there are, running or not.
-func (h *holder) replicas() int {
-	n := 0
-	for _, j := range h.jobs {
-		if j.Kind == bookkeeping.Service {
-			n += j.Tasks
-		}
-	}
-	return n
-}
+func (h *holder) pack() int { return h.replicas / packShare }
 
 func sameNeed(a, b fleet.Need) bool {
 	return a.Count == b.Count && a.Each == b.Each && a.Service == b.Service && a.Urgent == b.Urgent
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -204,8 +204,11 @@
 	return m
 }
 
+var parts = map[string]int{"half": 2, "third": 3, "fifth": 5, "tenth": 10}
+
 // pick finds machines by name, or "any", a job's id for one with a task of it,
-// "spot" for all spot machines, "machines" for all, "third" for every third.
+// "spot" for all spot machines, "machines" for all, "third" for every third (also
+// half, fifth, tenth), "zone-a" for those of a zone.
 func (c *cloud) pick(what string) []*machine {
 	if m := c.machines[what]; m != nil {
 		return []*machine{m}
@@ -216,7 +219,7 @@
 			continue
 		}
 		switch {
-		case what == "machines", what == "third" && i%3 == 0:
+		case what == "machines", parts[what] > 0 && i%parts[what] == 0, what == "zone-"+m.zone:
 			out = append(out, m)
 		case what == "spot" && m.spot, what == "all":
 			out = append(out, m)
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -135,9 +135,9 @@
 		p := append(strings.Split(t, ":"), "0", "0")
 		fmt.Fprintf(&toml, "[[settings.teams]]\nname = %q\ncpus = %s.0\ncpus_max = %s.0\n", p[0], p[1], p[2])
 	}
-	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = 1.5\nlease_s = %v\ncancel_s = %v\n", l.num("lease", 10), l.num("cancel", 35))
+	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
 	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
-	fmt.Fprintf(&toml, "[settings.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = 125.0\nmax_connections = 1000\n")
+	fmt.Fprintf(&toml, "[settings.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = 125.0\nmax_connections = %d\n", int(l.num("connections", 1000)))
 	operator := fmt.Sprintf("queues: %d", int(l.num("queues", 1)))
 	for i := range nodes {
 		var own strings.Builder
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -133,6 +133,7 @@
 	wakeSeq int
 	drift   float64
 	skew    micros.Time
+	calling int // direct calls to workers that are out
 	nextReq coordination.RequestID
 	waiting map[coordination.RequestID]func(coordination.Answer)
 }
@@ -146,7 +147,7 @@
 	n.life++
 	n.core = coordination.New(n.conf, fmt.Sprintf("%s.%d", n.name, n.life))
 	n.waiting = map[coordination.RequestID]func(coordination.Answer){}
-	n.paused, n.inbox = false, nil
+	n.paused, n.inbox, n.calling = false, nil, 0
 	n.step()
 }
 
@@ -215,6 +216,9 @@
 				}
 			}
 		}
+		if n.calling++; n.calling > n.conf.Sockets().Calls {
+			w.breakRule("sockets", "%s: %d calls to workers at once", n.name, n.calling)
+		}
 		n.call(target, c.Timeout, func(reply func(int, []byte)) {
 			if m == nil || m.gone {
 				return
@@ -225,6 +229,7 @@
 				m.commands(body, reply)
 			}
 		}, func(status int, body []byte) {
+			n.calling--
 			n.step(&coordination.WorkerDone{Call: c.Call, Reply: protocol.DecodeWorker(status, body)})
 		})
 	}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -33,13 +33,14 @@
 	workers *http.Client
 }
 
-func newClient(dial time.Duration, perHost, idle int) *http.Client {
+// newClient bounds connections, idle ones included, to each host.
+func newClient(dial time.Duration, perHost, idlePerHost, idle int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: dial, KeepAlive: 15 * time.Second}).DialContext,
 			MaxIdleConns:           idle,
-			MaxIdleConnsPerHost:    perHost,
-			MaxConnsPerHost:        4 * perHost,
+			MaxIdleConnsPerHost:    idlePerHost,
+			MaxConnsPerHost:        perHost,
 			IdleConnTimeout:        30 * time.Second,
 			MaxResponseHeaderBytes: 16 << 10,
 			DisableCompression:     true,
@@ -49,9 +50,10 @@
 }
 
 func newClients(cfg *config.Config, log *slog.Logger) *clients {
+	sockets := cfg.Sockets()
 	return &clients{cfg: cfg, log: log,
-		service: newClient(time.Second, 16, 32),
-		workers: newClient(time.Second, 2, cfg.Settings.MachineLimits.MaxConnections/8)}
+		service: newClient(time.Second, sockets.Service/2, sockets.Service/4, sockets.Service/2),
+		workers: newClient(time.Second, 2, 1, sockets.Calls/2)}
 }
 
 // do sends a request once. It must not be repeated behind the core's back: a
--- a/internal/transport/driver.go
+++ b/internal/transport/driver.go
@@ -69,19 +69,18 @@
 	d.siblings = newSiblings(cfg, log, d.inputs)
 	d.siblings.run(ctx, internal)
 
+	listener := &boundedListener{Listener: users, most: int64(cfg.Sockets().Serve)}
 	server := &http.Server{
-		Handler:           d.routes(),
+		Handler:           d.routes(listener),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      10 * time.Second,
-		IdleTimeout:       90 * time.Second,
+		IdleTimeout:       idleTimeout(cfg),
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
-	go func() {
-		failed <- server.Serve(&boundedListener{Listener: users, left: int64(cfg.Settings.MachineLimits.MaxConnections * 3 / 4)})
-	}()
+	go func() { failed <- server.Serve(listener) }()
 	log.Info("serving", "member", cfg.Member, "incarnation", incarnation, "listen", cfg.Listen, "internal", cfg.InternalAddr)
 	go d.loop(ctx)
 	select {
@@ -94,39 +93,6 @@
 	}
 }
 
-// boundedListener refuses connections beyond a number, so that this process
-// keeps sockets for its own calls. A refused user goes to another controller.
-type boundedListener struct {
-	net.Listener
-	left int64
-}
-
-type boundedConn struct {
-	net.Conn
-	once  sync.Once
-	owner *boundedListener
-}
-
-func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if atomic.AddInt64(&l.left, -1) < 0 {
-			atomic.AddInt64(&l.left, 1)
-			c.Close()
-			continue
-		}
-		return &boundedConn{Conn: c, owner: l}, nil
-	}
-}
-
-func (c *boundedConn) Close() error {
-	c.once.Do(func() { atomic.AddInt64(&c.owner.left, 1) })
-	return c.Conn.Close()
-}
-
 func (d *Driver) steady() micros.Time { return time.Since(d.start).Microseconds() + 1 }
 
 // loop hands inputs to the core and carries out what it asks for.
@@ -152,7 +118,9 @@
 				break more
 			}
 		}
-		out := d.core.Step(d.steady(), time.Now().UnixMicro(), batch...)
+		begin := d.steady()
+		out := d.core.Step(begin, time.Now().UnixMicro(), batch...)
+		d.core.Took(d.steady() - begin)
 		clear(batch)
 		d.carryOut(ctx, out)
 		d.healthy.Store(d.core.Healthy())
--- /dev/null
+++ b/internal/transport/listener.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/micros"
+)
+
+// boundedListener refuses connections beyond a number, so that this process
+// keeps sockets for its own calls. A refused user goes to another controller.
+type boundedListener struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+}
+
+type boundedConn struct {
+	net.Conn
+	once  sync.Once
+	owner *boundedListener
+}
+
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) > l.most {
+			l.open.Add(-1)
+			c.Close()
+			continue
+		}
+		return &boundedConn{Conn: c, owner: l}, nil
+	}
+}
+
+func (c *boundedConn) Close() error {
+	c.once.Do(func() { c.owner.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// sparing ends users' connections with their answers while sockets are short: a
+// worker that finds none loses its tasks when its lease ends, a user comes again.
+func (l *boundedListener) sparing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.open.Load() > l.most*7/8 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// idleTimeout ends connections whose other end is gone without a word: workers
+// report, and users ask, more often than that.
+func idleTimeout(cfg *config.Config) time.Duration {
+	return micros.Duration(max(15*micros.Second, micros.FromSeconds(4*cfg.Settings.Workers.ReportS)))
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -46,14 +46,17 @@
 	}
 }
 
-func (d *Driver) routes() http.Handler {
+func (d *Driver) routes(l *boundedListener) http.Handler {
 	adm := newAdmission(uint(d.cfg.Operator.MaxInProgress))
 	r := chi.NewRouter()
 	r.Get("/up", d.up)
 	r.Post("/v1/report", d.report)
-	r.Post("/submissions", adm.guard(d.submit))
-	r.Get("/submissions/{id}", adm.guard(d.lookup))
-	r.Post("/submissions/{id}/abort", d.abort)
+	r.Route("/submissions", func(r chi.Router) {
+		r.Use(l.sparing)
+		r.Post("/", adm.guard(d.submit))
+		r.Get("/{id}", adm.guard(d.lookup))
+		r.Post("/{id}/abort", d.abort)
+	})
 	return r
 }
 
