Many silent machines: judged by zone and kind, and by whom they turn to

Cause: a third of the fleet silent was taken for a fault near the holder, whatever the rest did: with a zone lost, or spot machines taken in a wave while ordinary ones die, replicas waited for the ends of leases. A fault near the holder hits all alike; one that lets the machines reach another controller is not theirs.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -305,6 +305,18 @@
 	return false
 }
 
+// heardElsewhere is how many of a queue's machines turned to another controller
+// of late, as far as that is known.
+func (c *Core) heardElsewhere(queue int) int {
+	heard := 0
+	for member, p := range c.peers {
+		if member != c.proc.Member && c.now-p.at < 3*micros.Second {
+			heard = max(heard, p.status.Heard[queue])
+		}
+	}
+	return heard
+}
+
 // heardFromAll tells whether every sibling has been heard of late.
 func (c *Core) heardFromAll() bool {
 	for _, s := range c.cfg.Siblings {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -1075,10 +1075,44 @@
 // manySilent tells whether so many machines are silent, or overdue, at once that
 // the fault is more likely near this controller than at each of them: then none
 // is deleted, and only the end of its lease writes one off. Overdue ones count
-// because in a cut the machines fall silent one after the other.
+// because in a cut the machines fall silent one after the other. A fault near here
+// hits all alike: while those of another zone, or the ordinary ones, are heard as
+// ever, a zone was lost or spot machines were taken, however many, and what ran
+// there need not wait. Nor is it near here, but not at the machines either, if
+// they turn to other controllers.
 func (h *holder) manySilent() bool {
-	silent, up := h.countSilent(func(m *machine) bool { return h.c.now-m.seen > h.silence()*7/10 })
-	return silent > 2 && silent*3 > up
+	type share struct {
+		zone string
+		spot bool
+	}
+	var silent, up int
+	shares := map[share][2]int{}
+	for _, m := range h.machines {
+		if m.session == 0 && !m.block.Used {
+			continue
+		}
+		k := share{m.block.Zone, m.block.Spot}
+		n := shares[k]
+		up++
+		n[1]++
+		if h.c.now-m.seen > h.silence()*7/10 {
+			silent++
+			n[0]++
+		}
+		shares[k] = n
+	}
+	if silent <= 2 || silent*3 <= up {
+		return false
+	}
+	if h.c.heardElsewhere(h.queue)*4 > silent {
+		return true
+	}
+	for _, n := range shares {
+		if n[1] >= 3 && n[0]*3 <= n[1] {
+			return false
+		}
+	}
+	return true
 }
 
 // countSilent counts the machines in use, and those of them that are silent.
