Machines that serve are asked sooner, and given up after two calls in vain

Cause, java-fleet loss: a dead machine was given up after two report times, 10 s with reports every 5 s; its replicas waited 7.5 s on average before they could start elsewhere. A machine with replicas is now asked after a quarter of the silence, at least 2 s, and given up when two calls in a row found nobody; with reports every 1.5 s nothing changes. No task goes to a machine whose last call found nobody.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -875,10 +875,20 @@
 	return micros.Time(h.c.cfg.Operator.SilenceMs) * micros.Millisecond
 }
 
+// askAfter is how long a machine may be quiet before it is asked: one that serves
+// somebody earlier, since its replicas are missed from the moment that it dies.
+func (h *holder) askAfter(m *machine) micros.Time {
+	ask := h.silence() * 2 / 3
+	if replicasOn(m) > 0 {
+		ask = min(ask, max(h.silence()/4, 2*micros.Second))
+	}
+	return ask
+}
+
 // usable tells whether tasks may be started on the machine.
 func (h *holder) usable(m *machine) bool {
 	return m.known && !m.expired && m.ack == h.token && m.session != 0 && m.block.Used && m.draining == "" &&
-		m.notice == 0 && m.addr != "" && h.c.now-m.seen < h.silence()*3/4
+		m.notice == 0 && m.addr != "" && m.failed == 0 && h.c.now-m.seen < h.silence()*3/4
 }
 
 // lastAnswer is when a worker of this machine can last have had an answer that
@@ -980,13 +990,17 @@
 		h.emptied(m)
 		m.expired = true
 	}
-	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (quiet > h.silence()*2/3 || m.ack != h.token) {
+	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (m.failed > 0 || m.ack != h.token || quiet > h.askAfter(m)) {
 		h.toProbe = append(h.toProbe, m)
 	}
 	if m.draining == "" {
 		switch {
 		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil:
 			h.drain(m, "silent")
+		case up && m.failed > 1 && quiet > h.askAfter(m)+1500*micros.Millisecond && now >= h.doubtUntil && replicasOn(m) > 0:
+			// Two calls in a row without an answer: its replicas do not wait for the
+			// time that reports may take.
+			h.drain(m, "silent")
 		case up && m.expired && quiet > 3*h.c.cfg.LeaseRunOut():
 			// Long empty; a fault near this controller would have shown by now.
 			h.drain(m, "silent")
