--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -990,7 +990,7 @@
 		h.emptied(m)
 		m.expired = true
 	}
-	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (m.failed > 0 || m.ack != h.token || quiet > h.askAfter(m)) {
+	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (m.failed > 0 || m.ack != h.token || (quiet > h.silence()/4 && quiet > h.askAfter(m))) {
 		h.toProbe = append(h.toProbe, m)
 	}
 	if m.draining == "" {
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -29,6 +29,7 @@
 	q *plan.Queued
 	// guaranteed work does not wait on other teams' borrowed capacity.
 	guaranteed bool
+	pressed    bool // its class's tasks are to have begun soon
 }
 
 // schedule plans the waiting tasks and starts those whose slot is now.
@@ -64,7 +65,7 @@
 		if silent && j.version < h.since {
 			continue
 		}
-		r := ranked{j, h.queued(j), h.guaranteed(j)}
+		r := ranked{j, h.queued(j), h.guaranteed(j), h.pressed(j)}
 		if j.Kind == bookkeeping.Service {
 			services = append(services, r)
 		} else {
@@ -78,11 +79,13 @@
 		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.Submitted, b.j.Submitted))
 	})
 	slices.SortStableFunc(arrays, func(a, b ranked) int {
-		if a.guaranteed != b.guaranteed {
-			if a.guaranteed {
-				return -1
-			}
-			return 1
+		switch {
+		case a.guaranteed != b.guaranteed:
+			return first(a.guaranteed)
+		case a.pressed != b.pressed:
+			return first(a.pressed)
+		case a.pressed:
+			return cmp.Compare(a.j.Submitted, b.j.Submitted)
 		}
 		return cmp.Compare(b.q.Index, a.q.Index)
 	})
@@ -110,6 +113,40 @@
 	h.logFleet(services, arrays)
 }
 
+// first orders what it is true for before the rest.
+func first(is bool) int {
+	if is {
+		return -1
+	}
+	return 1
+}
+
+// pressed tells whether a job is in the last part of the time within which its
+// class's objectives want its tasks begun, or it finished. Exception to the design:
+// the index ranks what is long and late behind all that is short, so that under load
+// such a job begins last of all, and then long after these times. Past them nothing
+// is gained any more, and the index decides again.
+func (h *holder) pressed(j *job) bool {
+	age := h.c.wall - j.Submitted
+	for _, o := range h.c.cfg.Settings.Objectives {
+		if o.Class != j.Class {
+			continue
+		}
+		limit := micros.FromSeconds(o.WithinS)
+		switch o.Kind {
+		case "wait":
+		case "finished":
+			limit -= micros.Time(float64(h.estimate(j)) * h.c.stats.Spread(j.Class))
+		default:
+			continue
+		}
+		if age > limit*8/10 && age < limit {
+			return true
+		}
+	}
+	return false
+}
+
 // fleetEvery is how often the state of the fleet is logged.
 const fleetEvery = 10 * micros.Second
 
