--- /dev/null
+++ b/internal/coordination/finished.go
@@ -0,0 +1,107 @@
+package coordination
+
+import (
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// finish notes a completed task; its attempt is forgotten once that is stored.
+func (h *holder) finish(a *attempt) {
+	j, t := a.j, a.id.Task
+	if j.live[t] == a {
+		delete(j.live, t)
+	}
+	j.waiting.Remove(t)
+	if j.entry.Finished != nil && j.entry.Finished.Has(t) {
+		a.stored = true
+		return
+	}
+	j.pending.Add(t)
+	j.chunks[t/bookkeeping.ChunkTasks] = true
+}
+
+// partialEvery is how often finished tasks of an unfinished job are stored.
+// Until then their workers keep showing them, so a crash loses nothing.
+const partialEvery = 1500 * micros.Millisecond
+
+// store writes finished ranges, and that the job is done when all are.
+func (h *holder) store(j *job) {
+	if j.storing || len(j.chunks) == 0 || h.c.now < j.storeAt || !h.c.term.Valid(h.c.now) {
+		return
+	}
+	whole := j.Kind == bookkeeping.Array && j.finishedCount() == j.Tasks
+	if !whole && j.storeAt == 0 {
+		j.storeAt = h.c.now + partialEvery
+		return
+	}
+	maxOps := h.c.cfg.Settings.State.TxnOps
+	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{
+		{Key: h.c.keys.Queue(h.queue), Version: h.token},
+		{Key: h.c.keys.Job(j.ID), Version: j.version},
+	}}
+	written := map[int]*bookkeeping.TaskSet{}
+	if whole {
+		r.Puts = append(r.Puts, storage.Put{Key: h.c.keys.Job(j.ID), Value: storage.Encode(j.Final(bookkeeping.Done))})
+		for _, chunk := range sortedKeys(j.entry.FinVersion) {
+			if len(r.Deletes)+1 < maxOps {
+				r.Deletes = append(r.Deletes, h.c.keys.Fin(j.ID, chunk))
+			}
+		}
+	} else {
+		all := bookkeeping.NewTaskSet(j.Tasks)
+		for t := range j.Tasks {
+			if j.finished(t) {
+				all.Add(t)
+			}
+		}
+		for _, chunk := range sortedKeys(j.chunks) {
+			if len(r.Puts) >= maxOps {
+				break
+			}
+			key := h.c.keys.Fin(j.ID, chunk)
+			// The chunk's own version keeps a late copy of an older write from
+			// taking finished tasks back.
+			r.Conditions = append(r.Conditions, storage.Condition{Key: key, Version: j.entry.FinVersion[chunk]})
+			r.Puts = append(r.Puts, storage.Put{Key: key, Value: storage.Encode(all.Ranges(chunk))})
+			written[chunk] = all
+		}
+	}
+	urgency := storage.Patient
+	if whole {
+		urgency = storage.Urgent
+	}
+	j.storing = h.c.callState(r, urgency, stateTimeout, func(reply *storage.Reply) {
+		j.storing = false
+		j.storeAt = h.c.now + 300*micros.Millisecond
+		if reply.Outcome != storage.OK {
+			return
+		}
+		// The stream brings the same to the replica; what is stored now may be
+		// forgotten by the workers.
+		j.storeAt = h.c.now + partialEvery
+		for _, m := range h.machines {
+			for _, a := range m.attempts {
+				if a.j == j && a.state == Exited && (whole || has(written[a.id.Task/bookkeeping.ChunkTasks], a.id.Task)) {
+					a.stored = true
+				}
+			}
+		}
+		for chunk, set := range written {
+			left := false
+			lo := chunk * bookkeeping.ChunkTasks
+			for t := j.pending.Next(lo); t >= 0 && t < lo+bookkeeping.ChunkTasks; t = j.pending.Next(t + 1) {
+				left = left || !set.Has(t)
+			}
+			if !left {
+				delete(j.chunks, chunk)
+			}
+		}
+		if whole {
+			clear(j.chunks)
+			took := h.c.wall - j.Submitted
+			h.c.log(levelInfo, "job done", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "took_ms", took/micros.Millisecond,
+				"late_ms", (took-j.Deadline)/micros.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/room.go
@@ -0,0 +1,286 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/coordination/fleet"
+	"pipitlatch/internal/coordination/plan"
+	"pipitlatch/internal/micros"
+)
+
+// roomShape is what decides where room can be made for a task without further
+// conditions.
+type roomShape struct {
+	need     bookkeeping.Resources
+	priority bookkeeping.Priority
+	zone     string
+	spot     bool
+}
+
+// makeRoom stops work of lower priority for a task that otherwise would wait
+// until a time, and starts the task in its place. Exception to the design: the
+// paper's tasks are not preempted, but services must not wait for arrays.
+func (h *holder) makeRoom(j *job, until micros.Time) bool {
+	now := h.c.now
+	if until-now < micros.Second || j.waiting.Len() == 0 {
+		return false
+	}
+	// What found no room in this plan finds none again: many services alike wait.
+	shape := roomShape{j.Need, j.Priority, j.Zone, j.Spot}
+	plain := len(j.Types) == 0 && !j.OneZone && !j.Spread
+	if plain && h.noRoom[shape] {
+		return false
+	}
+	var best *machine
+	var victims []*attempt
+	bestCost := 0.0
+	for _, m := range h.machines {
+		if m.kind == nil || !h.usable(m) || m.pause > now || !j.AllowsType(m.block.Type) || (j.Zone != "" && j.Zone != m.block.Zone) ||
+			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) {
+			continue
+		}
+		free := m.kind.Capacity
+		var lower []*attempt
+		for _, id := range sortedAttempts(m) {
+			a := m.attempts[id]
+			if a.state == Exited {
+				continue
+			}
+			free = free.Sub(a.need)
+			if a.j != nil && a.j.Priority < j.Priority && !a.stop {
+				lower = append(lower, a)
+			}
+		}
+		// The least work lost first.
+		slices.SortStableFunc(lower, func(a, b *attempt) int { return cmp.Compare(h.lost(a), h.lost(b)) })
+		cost := 0.0
+		var take []*attempt
+		for _, a := range lower {
+			if j.Need.Fits(free) {
+				break
+			}
+			free = free.Add(a.need)
+			cost += micros.Seconds(h.lost(a)) + 1
+			take = append(take, a)
+		}
+		if !j.Need.Fits(free) {
+			continue
+		}
+		if !m.hasImage(j.Image) && m.kind.FetchGBps > 0 {
+			cost += 20 * j.ImageGB / m.kind.FetchGBps
+		}
+		if best == nil || cost < bestCost {
+			best, victims, bestCost = m, take, cost
+		}
+	}
+	if best == nil {
+		if plain {
+			h.noRoom[shape] = true
+		}
+		return false
+	}
+	saves := false
+	for _, a := range victims {
+		grace := micros.Time(0)
+		if a.j.CheckpointEvery > 0 {
+			grace, saves = a.j.SaveTime, true
+		}
+		h.stop(a, grace)
+	}
+	if !saves {
+		// Commands are executed in order: the room is there when the start comes.
+		return h.start(j, best, plan.Forever)
+	}
+	return true
+}
+
+// lost is the work that stopping an attempt loses.
+func (h *holder) lost(a *attempt) micros.Time {
+	if a.running == 0 {
+		return 0
+	}
+	run := h.c.now - a.running
+	if a.j.CheckpointEvery > 0 {
+		return a.j.SaveTime
+	}
+	return run
+}
+
+func (h *holder) zoneAllows(j *job, zone string) bool {
+	n := 0
+	for _, a := range j.live {
+		if a.m.block.Zone == zone {
+			n++
+		} else if j.OneZone {
+			return false
+		}
+	}
+	return !j.Spread || n < j.SpreadLimit()
+}
+
+// spare asks for room to take up the services of the machine that holds most of
+// them, and some growth, at once: free room, or room that arrays can be stopped
+// for. Exception to the design, which plans for tasks that are there.
+func (h *holder) spare() []fleet.Need {
+	kind, missing := h.spareMissing(nil, true)
+	if missing > 0 {
+		return []fleet.Need{h.need(kind, missing)}
+	}
+	m := h.oversized(kind)
+	if m == nil {
+		return nil
+	}
+	// Room on smaller machines for what keeps a dear one busy: once it is there,
+	// consolidate gives the dear one up.
+	if _, missing = h.spareMissing(m, true); missing <= 0 {
+		return nil
+	}
+	n := h.need(kind, missing)
+	n.Types = nil
+	for _, name := range sortedKeys(h.c.catalog) {
+		if h.c.catalog[name].Capacity.CPU < m.kind.Capacity.CPU && kind.AllowsType(name) {
+			n.Types = append(n.Types, name)
+		}
+	}
+	return []fleet.Need{n}
+}
+
+// oversized finds a machine that is kept for so few replicas that smaller ones
+// would do for much less, and that the arrays do not need.
+func (h *holder) oversized(kind *job) *machine {
+	if kind == nil {
+		return nil
+	}
+	arrays, services, capacity := h.cpuLoad()
+	var worst *machine
+	for _, m := range h.machines {
+		if m.kind == nil || m.block.Spot || !h.usable(m) || h.c.now-m.added < settled {
+			continue
+		}
+		replicas := 0
+		room := m.kind.Capacity.CPU
+		for _, a := range m.attempts {
+			if a.state != Exited && a.j != nil && a.j.Kind == bookkeeping.Service {
+				replicas++
+				room -= a.need.CPU
+			}
+		}
+		if max(arrays, h.load) > (capacity-services-room)*8/10 {
+			continue
+		}
+		for _, t := range h.c.catalog {
+			slots := int(kind.Need.Count(t.Capacity))
+			if replicas == 0 || slots == 0 || t.Capacity.CPU >= m.kind.Capacity.CPU || !kind.AllowsType(t.Name) {
+				continue
+			}
+			instead := float64((replicas+slots)/slots) * t.Price
+			if m.kind.Price-instead >= h.cheapest() && (worst == nil || m.kind.Price > worst.kind.Price) {
+				worst = m
+			}
+		}
+	}
+	return worst
+}
+
+// cheapest is the lowest price of an ordinary machine.
+func (h *holder) cheapest() float64 {
+	lowest := 0.0
+	for _, t := range h.c.catalog {
+		if lowest == 0 || t.Price < lowest {
+			lowest = t.Price
+		}
+	}
+	return lowest
+}
+
+// cpuLoad is the CPU that arrays and services use, and all there is, on usable
+// machines.
+func (h *holder) cpuLoad() (arrays, services, capacity int64) {
+	for _, m := range h.machines {
+		if m.kind == nil || !h.usable(m) {
+			continue
+		}
+		capacity += m.kind.Capacity.CPU
+		for _, a := range m.attempts {
+			switch {
+			case a.state == Exited:
+			case a.j != nil && a.j.Kind == bookkeeping.Service:
+				services += a.need.CPU
+			default:
+				arrays += a.need.CPU
+			}
+		}
+	}
+	return arrays, services, capacity
+}
+
+// spareMissing is how much room for replicas, like those of the returned job, is
+// missing: if without is given, after its replicas have moved elsewhere. Machines
+// that still boot count if booting is set.
+func (h *holder) spareMissing(without *machine, booting bool) (*job, int) {
+	replicas := 0
+	var kind *job
+	perMachine := map[*machine]int{}
+	for _, j := range h.order {
+		if j.Kind != bookkeeping.Service {
+			continue
+		}
+		for _, a := range j.live {
+			replicas++
+			perMachine[a.m]++
+		}
+		if kind == nil || j.Need.CPU > kind.Need.CPU {
+			kind = j
+		}
+	}
+	if kind == nil {
+		return nil, 0
+	}
+	growth := (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100 + 1
+	moving := perMachine[without] // 0 if without is nil
+	room := 0
+	roomOn := map[*machine]int{}
+	for _, m := range h.machines {
+		if m == without || m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) ||
+			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (!booting || !h.expected(m))) {
+			continue
+		}
+		free := m.kind.Capacity
+		for _, a := range m.attempts {
+			if a.state != Exited && (a.j == nil || a.j.Priority >= kind.Priority) {
+				free = free.Sub(a.need)
+			}
+		}
+		roomOn[m] = int(kind.Need.Count(free))
+		room += roomOn[m]
+	}
+	missing := growth + moving - room
+	for m, n := range perMachine {
+		if m != without {
+			// What this machine has must fit on the others.
+			missing = max(missing, n+moving-(room-roomOn[m]))
+		}
+	}
+	return kind, missing
+}
+
+// free is the room a machine has now.
+func (h *holder) free(m *machine) bookkeeping.Resources {
+	free := m.kind.Capacity
+	for _, a := range m.attempts {
+		if a.state != Exited {
+			free = free.Sub(a.need)
+		}
+	}
+	return free
+}
+
+// packShare is the part of all replicas that may be lost with one machine: below
+// it they are packed, so that machines become free when the arrays end; above it
+// they are spread. Exception to the design, whose gaps know no machines that end.
+const packShare = 16
+
+// pack is how many replicas a machine takes before others are preferred.
+func (h *holder) pack() int { return h.replicas / packShare }
