Jobs in the last tenth of their wait or finish objective go before the index

The objectives that the settings state for a class decide; past them the index does again, and work within a guarantee still comes first. Without objectives nothing changes.

--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -140,7 +140,7 @@
 		default:
 			continue
 		}
-		if age > limit*8/10 && age < limit {
+		if age > limit*9/10 && age < limit {
 			return true
 		}
 	}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -135,6 +135,11 @@
 		p := append(strings.Split(t, ":"), "0", "0")
 		fmt.Fprintf(&toml, "[[settings.teams]]\nname = %q\ncpus = %s.0\ncpus_max = %s.0\n", p[0], p[1], p[2])
 	}
+	for _, kind := range []string{"wait", "finished"} { // objectives: class:seconds
+		if class, within, ok := strings.Cut(l.set[kind], ":"); ok {
+			fmt.Fprintf(&toml, "[[settings.objectives]]\nkind = %q\nclass = %q\nwithin_s = %s.0\nshare = 0.99\n", kind, class, within)
+		}
+	}
 	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
 	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
 	fmt.Fprintf(&toml, "[settings.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = 125.0\nmax_connections = %d\n", int(l.num("connections", 1000)))
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -228,6 +228,10 @@
 	}
 	raw := m.body()
 	w.after(4*micros.Second, func() { end(0, nil) })
+	if w.post != nil {
+		w.post(m, raw, end)
+		return
+	}
 	for range m.copies {
 		if w.now >= m.copyUntil {
 			break
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -61,6 +61,11 @@
 	calm   micros.Time // when the last trouble so far is over
 	broken []string
 	logf   func(string, ...any)
+
+	// With controllers that are real processes: how a worker's report is sent, and
+	// the address it listens at.
+	post   func(m *machine, report []byte, end func(status int, body []byte))
+	listen func(*machine) string
 }
 
 func (w *World) after(d micros.Time, run func()) {
