--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -65,12 +65,15 @@
 	"cut vm-000001 hold for=%d", "cut vm-000002 for=%d", "cut vm-000001 holder hold for=%d",
 	"alone holder for=%d", "alone node-0 hold for=%d", "crash all back=0.2", "crash node-1 back=0.05",
 	"worker any oneway for=%d", "worker all copies by=35 for=%d", "worker any restart back=0.3", "worker all restart back=0.2",
+	"pause others for=%d", "pause all for=%d", "worker third die", "worker half hang for=%d", "worker zone-a die", "worker zone-b hang for=%d",
+	"cut zone-b hold for=%d", "cut third hold for=%d", "worker third oneway for=%d", "worker half restart back=0.2", "worker fifth sick",
 	"cloud down for=%d", "cloud late 8 for=%d", "cloud neverup 0.5 for=%d", "cloud slowboot 3 for=%d", "cloud full for=%d",
 }
 
 // TestDrawnFaults draws two or three faults at once; whatever happens, no rule
 // may be broken and, in the end, every accepted job is done.
 func TestDrawnFaults(t *testing.T) {
+	t.Log("seed", flag.Lookup("rapid.seed").Value)
 	rapid.Check(t, func(t *rapid.T) {
 		var b strings.Builder
 		fmt.Fprintf(&b, "cluster teams=alpha:16:24,beta:8:40 queues=%d seed=%d\n", rapid.IntRange(1, 2).Draw(t, "queues"), rapid.IntRange(1, 1000).Draw(t, "seed"))
