A machine is given up early only while others are heard

Now a quarter of the machines must have been heard since the first call in vain was sent. Ruled out: counting serving machines that do not answer, of which there may be three.

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -49,8 +49,9 @@
 	calling    bool
 	callAt     micros.Time
 	probed     micros.Time
-	failed     int  // calls without an answer, in a row
-	lostStarts bool // a start got no answer
+	failed     int         // calls without an answer, in a row
+	vainAt     micros.Time // when the first of them was sent
+	lostStarts bool        // a start got no answer
 }
 
 type image struct {
@@ -218,7 +219,8 @@
 		switch {
 		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil:
 			h.drain(m, "silent")
-		case up && m.failed > 1 && quiet > h.askAfter(m)+1500*micros.Millisecond && now >= h.doubtUntil && replicasOn(m) > 0:
+		case up && m.failed > 1 && quiet > h.askAfter(m)+1500*micros.Millisecond && now >= h.doubtUntil &&
+			replicasOn(m) > 0 && h.othersHeard(m):
 			// Two calls in a row without an answer: its replicas do not wait for the
 			// time that reports may take.
 			h.drain(m, "silent")
@@ -350,23 +352,32 @@
 	return true
 }
 
-// countSilent counts the machines in use, and those of them that are silent.
-func (h *holder) countSilent(is func(*machine) bool) (silent, up int) {
+// othersHeard tells whether a good part of the machines has been heard since the
+// first of the calls in a row that this one did not answer was sent: then it is not
+// this controller that nobody hears. A fault near here shows at once, long before
+// many machines are overdue.
+func (h *holder) othersHeard(m *machine) bool {
+	heard, up := h.countUp(func(o *machine) bool { return o.seen > m.vainAt })
+	return heard*4 > up
+}
+
+// countUp counts the machines in use, and those of them that are as asked for.
+func (h *holder) countUp(is func(*machine) bool) (found, up int) {
 	for _, m := range h.machines {
 		if m.session == 0 && !m.block.Used {
 			continue
 		}
 		up++
 		if is(m) {
-			silent++
+			found++
 		}
 	}
-	return silent, up
+	return found, up
 }
 
 // deaf tells whether most of the machines are silent.
 func (h *holder) deaf() bool {
-	silent, up := h.countSilent(func(m *machine) bool { return h.c.now-m.seen > h.silence() && m.failed > 0 })
+	silent, up := h.countUp(func(m *machine) bool { return h.c.now-m.seen > h.silence() && m.failed > 0 })
 	return silent > 2 && silent*3 > up*2
 }
 
@@ -448,7 +459,7 @@
 
 func (h *holder) callMachine(m *machine, batch []Command, show bool) {
 	m.calling = true
-	session, seq, token := m.session, m.seq, h.token
+	session, seq, token, sent := m.session, m.seq, h.token, h.c.now
 	h.c.callWorker(WorkerCall{Machine: m.id, Address: m.addr, Token: token, Session: session, Commands: batch, Show: show,
 		Timeout: micros.Second}, func(r *WorkerReply) {
 		m.calling = false
@@ -471,7 +482,9 @@
 			}
 		}
 		if r.Report == nil {
-			m.failed++
+			if m.failed++; m.failed == 1 {
+				m.vainAt = sent
+			}
 			m.callAt = h.c.now + 300*micros.Millisecond<<min(m.failed-1, 3)
 			if m.session == session {
 				// The same attempts again: repeating them is safe.
