Progress of all jobs is told to the siblings, 500 a message

Cause: one message named the first 500 jobs only; with more open ones, polls at other controllers showed the rest as queued. The next message goes on where the last ended. TestProgressOfAllJobs fails without it.

--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -43,7 +43,7 @@
 
 // newLarge is a core that leads and holds a queue of a number of machines, each
 // with eight running tasks, and has a tenth as many waiting jobs.
-func newLarge(b *testing.B, size int) (*Core, []*Report) {
+func newLarge(b testing.TB, size int) (*Core, []*Report) {
 	cfg, err := config.Parse([]byte(benchSettings), nil)
 	if err != nil {
 		b.Fatal(err)
@@ -97,6 +97,26 @@
 	return c, reports
 }
 
+// TestProgressOfAllJobs: more running jobs than one message to the siblings takes are
+// all told within a few.
+func TestProgressOfAllJobs(t *testing.T) {
+	c, reports := newLarge(t, 8000)
+	for _, r := range reports {
+		r.Seq++
+		c.tickAt = 2 * micros.Second
+		c.Step(2*micros.Second, 2*micros.Second, &ReportIn{Request: 1, Report: r})
+	}
+	told := map[string]int{}
+	for range 2 {
+		for _, p := range c.holders[0].progress() {
+			told[p.ID] += p.Running
+		}
+	}
+	if len(told) != 800 {
+		t.Errorf("%d jobs of 800 were told", len(told))
+	}
+}
+
 // BenchmarkReport takes a report of each machine, the work that comes
 // every report time.
 func BenchmarkReport(b *testing.B) {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -37,6 +37,7 @@
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
 	oddAt      micros.Time // last report told as not believed
+	told       string      // the job with which the next message on progress begins
 	knew       bool        // all machines are known, or were
 	fleetAt    micros.Time
 	mergedAt   micros.Time            // last look at surplus machines
@@ -348,22 +349,29 @@
 	return s
 }
 
+// maxProgress bounds the jobs in one message to the siblings.
+const maxProgress = 500
+
+// progress tells how far jobs are, for display elsewhere. With more jobs than one
+// message takes, the next goes on where the last ended, so that none is left out.
 func (h *holder) progress() []JobProgress {
+	from, _ := slices.BinarySearchFunc(h.order, h.told, func(j *job, id string) int { return cmp.Compare(j.ID, id) })
 	var out []JobProgress
-	for _, j := range h.order {
-		id := j.ID
-		p := JobProgress{ID: id, Done: j.finishedCount()}
+	for k := range h.order {
+		j := h.order[(from+k)%len(h.order)]
+		if len(out) == maxProgress {
+			h.told = j.ID
+			break
+		}
+		p := JobProgress{ID: j.ID, Done: j.finishedCount()}
 		for _, a := range j.live {
 			if a.state == Running || a.state == Saving {
 				p.Running++
 			}
 		}
-		if p.Running > 0 || p.Done > 0 || h.c.progress[id] != (JobProgress{}) {
+		if p.Running > 0 || p.Done > 0 || h.c.progress[j.ID] != (JobProgress{}) {
 			out = append(out, p)
 		}
-		if len(out) == 500 {
-			break
-		}
 	}
 	return out
 }
