Small limits are warned of; tests of sockets' shares and of room for workers

Warnings name their field, at a start and in check: few sockets, little memory, a lease of less than three report times, few changes a second. None refuses to start.

--- a/cmd/pipitlatch/main.go
+++ b/cmd/pipitlatch/main.go
@@ -49,9 +49,13 @@
 }
 
 func (c *checkCmd) Run() error {
-	if _, err := c.load(); err != nil {
+	cfg, err := c.load()
+	if err != nil {
 		return err
 	}
+	for _, w := range cfg.Warnings() {
+		fmt.Println("warning:", w)
+	}
 	fmt.Println("settings are valid")
 	return nil
 }
@@ -62,6 +66,9 @@
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel(os.Getenv("LOG_LEVEL"))}))
+	for _, w := range cfg.Warnings() {
+		log.Warn("settings", "warning", w)
+	}
 	limits := cfg.Settings.MachineLimits
 	debug.SetMemoryLimit(int64(limits.MemoryMB * 1e6 * float64(cfg.Operator.MemoryPercent) / 100))
 	// Below that limit memory is cheaper than the processor time of collections.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -242,6 +242,27 @@
 	return errs
 }
 
+// Warnings are settings that can be lived with, but that the operator should know
+// of; each names its field.
+func (c *Config) Warnings() []string {
+	var out []string
+	warn := func(field, format string, args ...any) { out = append(out, field+": "+fmt.Sprintf(format, args...)) }
+	s := &c.Settings
+	if calls := c.Sockets().Calls; calls < 32 {
+		warn("settings.machine_limits.max_connections", "%d leave %d for calls to workers: a new holder asks few machines at a time", s.MachineLimits.MaxConnections, calls)
+	}
+	if s.MachineLimits.MemoryMB < 48 {
+		warn("settings.machine_limits.memory_mb", "%v is little more than a process without jobs needs", s.MachineLimits.MemoryMB)
+	}
+	if s.Workers.LeaseS < 3*s.Workers.ReportS {
+		warn("settings.workers.lease_s", "%v is less than three report times of %v: two lost answers end a machine's tasks", s.Workers.LeaseS, s.Workers.ReportS)
+	}
+	if fair := s.State.WriteRPS / float64(max(1, s.Nodes)); fair < 4 {
+		warn("settings.state.write_rps", "%v leaves each controller less than 4 changes a second", s.State.WriteRPS)
+	}
+	return out
+}
+
 // Sockets is how the process's sockets are shared out.
 type Sockets struct {
 	Calls   int // direct calls to workers, idle connections included
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -87,3 +88,37 @@
 		t.Error("a bad operator file was taken")
 	}
 }
+
+// TestWarnings: small limits are told, not refused.
+func TestWarnings(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{"", "", ""},
+		{`max_connections = 1000`, `max_connections = 100`, "settings.machine_limits.max_connections:"},
+		{`memory_mb = 125.0`, `memory_mb = 40.0`, "settings.machine_limits.memory_mb:"},
+		{`lease_s = 10.0`, `lease_s = 4.0`, "settings.workers.lease_s:"},
+		{`write_rps = 25.0`, `write_rps = 6.0`, "settings.state.write_rps:"},
+	} {
+		cfg, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if w := strings.Join(cfg.Warnings(), "\n"); !strings.HasPrefix(w, c.field) || strings.Contains(w, "\n") || (w == "") != (c.field == "") {
+			t.Errorf("%q: got %q", c.to, w)
+		}
+	}
+}
+
+// TestSockets: all shares together stay within the limit, and what serves workers is
+// by far the greatest.
+func TestSockets(t *testing.T) {
+	for _, most := range []int{16, 100, 1000, 3606} {
+		cfg, err := Parse([]byte(strings.Replace(good, "max_connections = 1000", fmt.Sprint("max_connections = ", most), 1)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := cfg.Sockets()
+		if s.Calls+s.Service+s.Serve > most || s.Serve < most/4 {
+			t.Errorf("%d: %+v", most, s)
+		}
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -165,3 +165,56 @@
 		}
 	}
 }
+
+// TestUsersMakeRoomForWorkers: while sockets are short, a user's connection ends with
+// its answer, a worker's stays, and beyond the limit there are none.
+func TestUsersMakeRoomForWorkers(t *testing.T) {
+	addr := start(t)
+	ask := func(path string) (*http.Response, error) {
+		c := &http.Client{Transport: &http.Transport{}}
+		var resp *http.Response
+		var err error
+		if path == "/v1/report" {
+			resp, err = c.Post("http://"+addr+path, "application/json", strings.NewReader("{"))
+		} else {
+			resp, err = c.Get("http://" + addr + path)
+		}
+		if err == nil {
+			resp.Body.Close()
+			c.CloseIdleConnections()
+		}
+		return resp, err
+	}
+	var open []net.Conn
+	defer func() {
+		for _, c := range open {
+			c.Close()
+		}
+	}()
+	crowd := func(n int) {
+		for len(open) < n {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, c)
+		}
+		time.Sleep(50 * time.Millisecond) // until they are accepted
+	}
+	for _, c := range []struct {
+		crowd       int
+		path        string
+		closes, err bool
+	}{
+		{0, "/submissions/wk-000001", false, false},
+		{72, "/submissions/wk-000001", true, false},
+		{72, "/v1/report", false, false},
+		{90, "/v1/report", false, true},
+	} {
+		crowd(c.crowd)
+		resp, err := ask(c.path)
+		if (err != nil) != c.err || (err == nil && resp.Close != c.closes) {
+			t.Errorf("%d connections, %s: %v, %v", c.crowd, c.path, resp, err)
+		}
+	}
+}
