--- a/internal/coordination/room.go
+++ b/internal/coordination/room.go
@@ -22,52 +22,23 @@
 // makeRoom stops work of lower priority for a task that otherwise would wait
 // until a time, and starts the task in its place. Exception to the design: the
 // paper's tasks are not preempted, but services must not wait for arrays.
-func (h *holder) makeRoom(j *job, until micros.Time) {
-	if until-h.c.now < micros.Second || j.waiting.Len() == 0 {
-		return
+func (h *holder) makeRoom(j *job, until micros.Time) bool {
+	now := h.c.now
+	if until-now < micros.Second || j.waiting.Len() == 0 {
+		return false
 	}
 	// What found no room in this plan finds none again: many services alike wait.
 	shape := roomShape{j.Need, j.Priority, j.Zone, j.Spot}
 	plain := len(j.Types) == 0 && !j.OneZone && !j.Spread
 	if plain && h.noRoom[shape] {
-		return
-	}
-	if found, _ := h.makeRoomOn(j, func(*machine) bool { return true }, 0); !found && plain {
-		h.noRoom[shape] = true
-	}
-}
-
-// fetchPatience is how long a replica waits for its image rather than take the place
-// of work of lower priority where the image is.
-const fetchPatience = 2 * micros.Second
-
-// makeRoomByImage starts a replica where its image is, in the place of work of lower
-// priority, if it would wait long for the image on the machine of its gap and that
-// work loses little in comparison. Exception to the design, like makeRoom: a service
-// that was lost with its machine is missed until it runs.
-func (h *holder) makeRoomByImage(j *job, m *machine) bool {
-	if m.hasImage(j.Image) || m.kind.FetchGBps <= 0 {
 		return false
 	}
-	fetch := micros.FromSeconds(j.ImageGB / m.kind.FetchGBps)
-	if fetch <= fetchPatience {
-		return false
-	}
-	_, started := h.makeRoomOn(j, func(o *machine) bool { return o.hasImage(j.Image) }, 3*fetch)
-	return started
-}
-
-// makeRoomOn stops the work whose loss costs least on a machine that meets the
-// condition, and starts a task in its place, at once unless that work saves first.
-// With mostLost above 0, no more than that is lost, and nothing is waited for.
-func (h *holder) makeRoomOn(j *job, cond func(*machine) bool, mostLost micros.Time) (found, started bool) {
-	now := h.c.now
 	var best *machine
 	var victims []*attempt
 	bestCost := 0.0
 	for _, m := range h.machines {
 		if m.kind == nil || !h.usable(m) || m.pause > now || !j.AllowsType(m.block.Type) || (j.Zone != "" && j.Zone != m.block.Zone) ||
-			(m.block.Spot && !j.Spot) || !cond(m) || !h.zoneAllows(j, m.block.Zone) {
+			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) {
 			continue
 		}
 		free := m.kind.Capacity
@@ -78,25 +49,23 @@
 				continue
 			}
 			free = free.Sub(a.need)
-			if a.j != nil && a.j.Priority < j.Priority && !a.stop && (mostLost == 0 || a.j.CheckpointEvery == 0) {
+			if a.j != nil && a.j.Priority < j.Priority && !a.stop {
 				lower = append(lower, a)
 			}
 		}
 		// The least work lost first.
 		slices.SortStableFunc(lower, func(a, b *attempt) int { return cmp.Compare(h.lost(a), h.lost(b)) })
 		cost := 0.0
-		lost := micros.Time(0)
 		var take []*attempt
 		for _, a := range lower {
 			if j.Need.Fits(free) {
 				break
 			}
 			free = free.Add(a.need)
-			lost += h.lost(a)
 			cost += micros.Seconds(h.lost(a)) + 1
 			take = append(take, a)
 		}
-		if !j.Need.Fits(free) || (mostLost > 0 && lost > mostLost) {
+		if !j.Need.Fits(free) {
 			continue
 		}
 		if !m.hasImage(j.Image) && m.kind.FetchGBps > 0 {
@@ -107,7 +76,10 @@
 		}
 	}
 	if best == nil {
-		return false, false
+		if plain {
+			h.noRoom[shape] = true
+		}
+		return false
 	}
 	saves := false
 	for _, a := range victims {
@@ -119,9 +91,9 @@
 	}
 	if !saves {
 		// Commands are executed in order: the room is there when the start comes.
-		return true, h.start(j, best, plan.Forever)
+		return h.start(j, best, plan.Forever)
 	}
-	return true, false
+	return true
 }
 
 // lost is the work that stopping an attempt loses.
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -384,7 +384,7 @@
 	count := min(j.waiting.Len(), h.allowance(j))
 	placed := plan.Place(h.request(r, count), machines, func(s plan.Slot) {
 		m := h.machines[s.Machine.Key]
-		if s.Machine.Up && s.Start <= h.c.now && (h.makeRoomByImage(j, m) || h.start(j, m, plan.Forever)) {
+		if s.Machine.Up && s.Start <= h.c.now && h.start(j, m, plan.Forever) {
 			return
 		}
 		h.makeRoom(j, s.Start)
