No machine is given up unless others were heard since it was asked in vain

With half of them as the mark of a fault near the holder, instead of a third, the first were given up before the mark was reached. What the early giving up asks for now holds for all: a quarter of the machines heard since the first call in vain was sent.

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -217,7 +217,7 @@
 	}
 	if m.draining == "" {
 		switch {
-		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil:
+		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil && h.othersHeard(m):
 			h.drain(m, "silent")
 		case up && m.failed > 1 && quiet > h.askAfter(m)+1500*micros.Millisecond && now >= h.doubtUntil &&
 			replicasOn(m) > 0 && h.othersHeard(m):
@@ -356,10 +356,10 @@
 // othersHeard tells whether a good part of the machines has been heard since the
 // first of the calls in a row that this one did not answer was sent: then it is not
 // this controller that nobody hears. A fault near here shows at once, long before
-// many machines are overdue.
+// many machines are overdue. Three machines are too few to tell.
 func (h *holder) othersHeard(m *machine) bool {
 	heard, up := h.countUp(func(o *machine) bool { return o.seen > m.vainAt })
-	return heard*4 > up
+	return heard*4 > up || up <= 3
 }
 
 // countUp counts the machines in use, and those of them that are as asked for.
