A zone that is not heard is asked for by siblings, and the queue goes where it is reached

Change: a holder that does not hear a zone says so; its siblings ask some machines of every zone and say who answered; the leader moves the queue to one that reaches clearly more of them. Until the siblings have answered no machine of that zone is given up. It takes the place of counting stray reports, which took a worker's timeout (5 s) and only saw a holder cut off from nearly all machines. Workers that left a holder nobody hears are not sent back to it. Tasks found running after a takeover show their machine's image and run their estimate down.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -58,8 +58,8 @@
 	stats    *bookkeeping.RunTimes
 	faults   *fleet.Faults
 	spot     spotLosses
-	strays   map[string]stray // machines of other holders that reported here
-	planned  *holder          // that planned in the last step
+	reach    reach
+	planned  *holder // that planned in the last step
 	statusAt micros.Time
 	statusUp bool        // send the status soon
 	okAt     micros.Time // when the state service last answered in time
@@ -77,16 +77,6 @@
 	return float64(s.losses+1) / (micros.Seconds(s.time) + 1800)
 }
 
-// stray is a report that came to a controller that does not hold its queue.
-type stray struct {
-	at    micros.Time
-	queue int
-}
-
-// strayFor is how long a stray report counts: a worker whose holder does not
-// answer comes by within two rounds of the controllers.
-const strayFor = 8 * micros.Second
-
 type peerView struct {
 	at     micros.Time
 	status *Status
@@ -102,8 +92,7 @@
 		budget:     storage.NewBudget(cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.Nodes),
 		holders:    map[int]*holder{}, ends: map[storage.Process]micros.Time{},
 		peers: map[string]*peerView{}, progress: map[string]JobProgress{},
-		strays: map[string]stray{},
-		stats:  bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
+		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
 	}
 	c.session.replica = storage.NewReplica(keys)
 	c.session.term = lease.Term{Length: cfg.Term()}
@@ -235,6 +224,7 @@
 	for _, n := range sortedKeys(c.holders) {
 		c.holders[n].tick()
 	}
+	c.tickReach()
 	c.tickStatus()
 }
 
@@ -305,18 +295,6 @@
 	return false
 }
 
-// heardElsewhere is how many of a queue's machines turned to another controller
-// of late, as far as that is known.
-func (c *Core) heardElsewhere(queue int) int {
-	heard := 0
-	for member, p := range c.peers {
-		if member != c.proc.Member && c.now-p.at < 3*micros.Second {
-			heard = max(heard, p.status.Heard[queue])
-		}
-	}
-	return heard
-}
-
 // heardFromAll tells whether every sibling has been heard of late.
 func (c *Core) heardFromAll() bool {
 	for _, s := range c.cfg.Siblings {
@@ -365,14 +343,7 @@
 		return
 	}
 	c.statusAt, c.statusUp = c.now, false
-	s := &Status{From: c.proc, Revision: c.replica.Revision, StateOK: c.stateOK(), Used: c.budget.Recent(), Heard: map[int]int{}}
-	for m, st := range c.strays {
-		if c.now-st.at > strayFor {
-			delete(c.strays, m)
-		} else {
-			s.Heard[st.queue]++
-		}
-	}
+	s := &Status{From: c.proc, Revision: c.replica.Revision, StateOK: c.stateOK(), Used: c.budget.Recent(), Reach: c.reach.told(c.now)}
 	var others storage.Usage
 	for member, p := range c.peers {
 		if member == c.proc.Member {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -36,9 +36,11 @@
 	calmAt    micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil micros.Time
-	oddAt      micros.Time // last report told as not believed
-	told       string      // the job with which the next message on progress begins
-	knew       bool        // all machines are known, or were
+	zones      map[string]*zoneView // of machines in use
+	zonesAt    micros.Time          // last look at them
+	oddAt      micros.Time          // last report told as not believed
+	told       string               // the job with which the next message on progress begins
+	knew       bool                 // all machines are known, or were
 	fleetAt    micros.Time
 	mergedAt   micros.Time            // last look at surplus machines
 	movedAt    micros.Time            // last move of a replica
@@ -109,7 +111,7 @@
 func newHolder(c *Core, n int, v storage.Versioned[storage.QueueRecord]) *holder {
 	h := &holder{c: c, queue: n, since: v.Version, token: v.Version, former: v.Value.Former, taken: c.now,
 		jobs: map[string]*job{}, usage: map[string]bookkeeping.Resources{}, dirty: true, lastTick: c.now,
-		calmAt: c.now, planPause: planPace, noRoom: map[roomShape]bool{}, marking: map[string]micros.Time{}}
+		calmAt: c.now, planPause: planPace, noRoom: map[roomShape]bool{}, zones: map[string]*zoneView{}, marking: map[string]micros.Time{}}
 	for _, id := range sortedKeys(c.replica.Machines) {
 		h.blockChanged(id)
 	}
@@ -332,12 +334,12 @@
 
 // status is what the leader is told of the queue.
 func (h *holder) status() QueueStatus {
-	s := QueueStatus{Queue: h.queue, Token: h.token, Needs: h.needs, Deaf: h.deaf()}
+	s := QueueStatus{Queue: h.queue, Token: h.token, Needs: h.needs, Lost: h.lostZones()}
 	if !h.c.term.Valid(h.c.now) {
 		return s
 	}
 	for _, m := range h.machines {
-		if m.draining == "silent" && h.c.now < h.doubtUntil && !m.expired {
+		if m.draining == "silent" && (h.c.now < h.doubtUntil || h.zoneInDoubt(m.block.Zone)) && !m.expired {
 			continue
 		}
 		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || m.lost() || h.empty(m)) {
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -255,7 +255,7 @@
 	Needs   []fleet.Need
 	Release []string // machines to delete
 	Idle    []string // machines that could go to another queue
-	Deaf    bool     // most of its machines are silent
+	Lost    []string // zones whose machines its holder does not hear
 }
 
 // JobProgress is what a holder knows of a job, for display elsewhere.
@@ -281,7 +281,16 @@
 	Shifts   []Shift
 	Progress []JobProgress
 	Used     storage.Usage // of the state service's limits
-	Heard    map[int]int   // machines, by queue, that reported here of late, and are another holder's
+	Reach    []ZoneReach   // of machines that their holder does not hear
+}
+
+// ZoneReach is how many machines of a queue in a zone answered a controller, of
+// those that it asked.
+type ZoneReach struct {
+	Queue    int
+	Zone     string
+	Asked    int
+	Answered int
 }
 
 // PeerSend is a message to a sibling.
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -99,7 +99,7 @@
 		heard := v != nil && v.status.From == p && c.now-v.at < 6*micros.Second
 		return !heard && c.now-l.since > 6*micros.Second
 	}
-	todo := lease.Assign(c.replica, c.queues(), c.proc, func(p storage.Process) bool { return mute(p) || c.cutOff(p) })
+	todo := lease.Assign(c.replica, c.queues(), c.proc, func(p storage.Process) bool { return mute(p) || c.cutOff(p) }, c.reachOf)
 	if len(todo) == 0 {
 		return
 	}
@@ -124,8 +124,14 @@
 // queue.
 const deafFor = 30 * micros.Second
 
-// cutOff tells whether a controller has lost its machines, but not the state
-// service, while others hear them: its queues go to one of those.
+// clearGain is how many more machines another controller must reach at least, and
+// an eighth of all, for a queue to change hands: that costs a second or two.
+const clearGain = 3
+
+// cutOff tells whether a holder has lost machines, but not the state service, while
+// another controller reaches clearly more of them: the queue goes there, long before
+// the workers' leases end. Two zones may not reach each other while a third reaches
+// both. One that lost a queue gets none for a while, so it does not go back and forth.
 func (c *Core) cutOff(p storage.Process) bool {
 	l := &c.leader
 	if at, ok := l.deaf[p]; ok && c.now-at < deafFor {
@@ -136,23 +142,20 @@
 		return false
 	}
 	for _, q := range v.status.Queues {
-		if !q.Deaf || c.replica.Queues[q.Queue].Value.Holder != p {
+		if len(q.Lost) == 0 || c.replica.Queues[q.Queue].Value.Holder != p {
 			continue
 		}
-		machines := 0
-		for _, m := range c.replica.Machines {
-			if m.Value.Queue == q.Queue && m.Value.Used {
-				machines++
-			}
-		}
-		heard := 0
+		mine, theirs, most := c.reachOf(p, q.Queue), 0, 0
 		for _, o := range c.peers {
-			if o.status.From != p && c.now-o.at < 3*micros.Second {
-				heard = max(heard, o.status.Heard[q.Queue])
+			if o.status.From != p && o.status.StateOK && c.replica.Live(o.status.From) {
+				theirs = max(theirs, c.reachOf(o.status.From, q.Queue))
 			}
 		}
-		if heard*4 > machines {
-			c.log(levelInfo, "holder is cut off from its machines", "holder", p.Member, "queue", q.Queue, "machines", machines, "heard", heard)
+		for _, n := range c.inUse(q.Queue) {
+			most += n
+		}
+		if theirs >= mine+max(clearGain, most/8) {
+			c.log(levelInfo, "holder is cut off from machines", "holder", p.Member, "queue", q.Queue, "zones", q.Lost, "reaches", mine, "another", theirs)
 			l.deaf[p] = c.now
 			return true
 		}
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -46,9 +46,11 @@
 }
 
 // Assign is what the leader has to change: every queue without a live holder
-// gets one, the live process with the fewest queues, the leader itself first. One
-// to avoid, the leader included, gets and keeps none while there is another.
-func Assign(r *storage.Replica, queues int, leader storage.Process, avoid func(storage.Process) bool) []Assignment {
+// gets one, the live process that reaches most of its machines as far as that is
+// known, then the one with the fewest queues, then the leader itself. One to avoid,
+// the leader included, gets and keeps none while there is another.
+func Assign(r *storage.Replica, queues int, leader storage.Process, avoid func(storage.Process) bool,
+	reach func(storage.Process, int) int) []Assignment {
 	all := r.LiveNodes()
 	if !slices.Contains(all, leader) {
 		return nil // our own registration is not in the stream yet
@@ -75,7 +77,7 @@
 			best = leader
 		}
 		for _, p := range live {
-			if load[p] < load[best] {
+			if a, b := reach(p, n), reach(best, n); a > b || (a == b && load[p] < load[best]) {
 				best = p
 			}
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -145,6 +145,7 @@
 		}
 	}
 	h.lastTick = now
+	h.viewZones()
 	if h.manySilent() {
 		// The last of them to be heard again must not be taken for dead meanwhile.
 		h.doubtUntil = now + h.silence()
@@ -217,10 +218,10 @@
 	}
 	if m.draining == "" {
 		switch {
-		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil && h.othersHeard(m):
+		case up && quiet > h.silence() && (m.failed > 0 || m.addr == "") && now >= h.doubtUntil && h.othersHeard(m) && !h.zoneInDoubt(m.block.Zone):
 			h.drain(m, "silent")
 		case up && m.failed > 1 && quiet > h.askAfter(m)+1500*micros.Millisecond && now >= h.doubtUntil &&
-			replicasOn(m) > 0 && h.othersHeard(m):
+			replicasOn(m) > 0 && h.othersHeard(m) && !h.zoneInDoubt(m.block.Zone):
 			// Two calls in a row without an answer: its replicas do not wait for the
 			// time that reports may take.
 			h.drain(m, "silent")
@@ -316,8 +317,7 @@
 // because in a cut the machines fall silent one after the other. A fault near here
 // hits all alike: while those of another zone, or the ordinary ones, are heard as
 // ever, a zone was lost or spot machines were taken, however many, and what ran
-// there need not wait. Nor is it near here, but not at the machines either, if
-// they turn to other controllers.
+// there need not wait.
 func (h *holder) manySilent() bool {
 	type share struct {
 		zone string
@@ -342,9 +342,6 @@
 	if silent <= 2 || silent*2 <= up {
 		return false
 	}
-	if h.c.heardElsewhere(h.queue)*4 > silent {
-		return true
-	}
 	for _, n := range shares {
 		if n[1] >= 3 && n[0]*2 <= n[1] {
 			return false
@@ -376,12 +373,6 @@
 	return found, up
 }
 
-// deaf tells whether most of the machines are silent.
-func (h *holder) deaf() bool {
-	silent, up := h.countUp(func(m *machine) bool { return h.c.now-m.seen > h.silence() && m.failed > 0 })
-	return silent > 2 && silent*3 > up*2
-}
-
 // markPace is how long machines that boot after others of their block wait to be
 // marked together.
 const markPace = 300 * micros.Millisecond
@@ -433,6 +424,9 @@
 		if i >= room {
 			break
 		}
+		if m.calling {
+			continue
+		}
 		m.probed = h.c.now
 		h.callMachine(m, nil, m.session == 0)
 	}
--- /dev/null
+++ b/internal/coordination/reach.go
@@ -0,0 +1,246 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// reach is what a controller finds out about machines that their holder does not
+// hear: whether they answer here. Nobody else can tell whether the machines are gone
+// or only out of that holder's reach.
+type reach struct {
+	asked   []ZoneReach
+	answers int // still out
+	askedAt micros.Time
+	endedAt micros.Time
+}
+
+const (
+	// reachSample is how many machines of a zone are asked; some may be dead.
+	reachSample = 8
+	// reachPace is how often they are asked while their holder does not hear them.
+	reachPace = 2 * micros.Second
+	// reachFor is how long an answer counts.
+	reachFor = 4 * micros.Second
+)
+
+// told is what siblings are told.
+func (r *reach) told(now micros.Time) []ZoneReach {
+	if r.answers > 0 || r.endedAt == 0 || now-r.endedAt > reachFor {
+		return nil
+	}
+	return r.asked
+}
+
+// tickReach asks some machines of every zone of a queue whose holder does not hear
+// all of them, or is not heard itself.
+func (c *Core) tickReach() {
+	r := &c.reach
+	if !c.synced || r.answers > 0 || (r.askedAt != 0 && c.now-r.askedAt < reachPace) {
+		return
+	}
+	var queues []int
+	for n, q := range c.replica.Queues {
+		if h := q.Value.Holder; h != c.proc && c.replica.Live(h) && c.misses(n, h) {
+			queues = append(queues, n)
+		}
+	}
+	if len(queues) == 0 {
+		return
+	}
+	slices.Sort(queues)
+	r.asked, r.askedAt = nil, c.now
+	for _, n := range queues {
+		byZone := map[string][]string{}
+		for _, id := range sortedKeys(c.replica.Machines) {
+			if m := c.replica.Machines[id].Value; m.Queue == n && m.Used && m.Address != "" {
+				byZone[m.Zone] = append(byZone[m.Zone], id)
+			}
+		}
+		for _, zone := range sortedKeys(byZone) {
+			ids := byZone[zone]
+			k := min(len(ids), reachSample)
+			r.asked = append(r.asked, ZoneReach{Queue: n, Zone: zone, Asked: k})
+			at := len(r.asked) - 1
+			for i := range k {
+				id := ids[i*len(ids)/k]
+				r.answers++
+				c.callWorker(WorkerCall{Machine: id, Address: c.replica.Machines[id].Value.Address, Show: true, Timeout: micros.Second}, func(reply *WorkerReply) {
+					if reply.Report != nil && reply.Report.Machine == id {
+						r.asked[at].Answered++
+					}
+					if r.answers--; r.answers == 0 {
+						r.endedAt = c.now
+						c.statusUp = true
+					}
+				})
+			}
+		}
+	}
+}
+
+// misses tells whether a queue's holder said of late that it does not hear a zone, or
+// is registered and not heard itself.
+func (c *Core) misses(queue int, h storage.Process) bool {
+	p := c.peers[h.Member]
+	if p == nil || p.status.From != h || c.now-p.at > 2*micros.Second {
+		return c.now > c.born+2*micros.Second
+	}
+	return slices.ContainsFunc(p.status.Queues, func(q QueueStatus) bool { return q.Queue == queue && len(q.Lost) > 0 })
+}
+
+// inUse is how many machines of a queue are in use, by zone.
+func (c *Core) inUse(queue int) map[string]int {
+	out := map[string]int{}
+	for _, m := range c.replica.Machines {
+		if m.Value.Queue == queue && m.Value.Used {
+			out[m.Value.Zone]++
+		}
+	}
+	return out
+}
+
+// reachOf is how many of a queue's machines a controller reaches, as far as it told:
+// its holder all but those of zones it does not hear, another what answered it of late.
+func (c *Core) reachOf(p storage.Process, queue int) int {
+	v := c.peers[p.Member]
+	if v == nil || v.status.From != p || c.now-v.at > 3*micros.Second {
+		return 0
+	}
+	n := 0
+	for zone, machines := range c.inUse(queue) {
+		if c.replica.Queues[queue].Value.Holder == p {
+			if !slices.ContainsFunc(v.status.Queues, func(q QueueStatus) bool { return q.Queue == queue && slices.Contains(q.Lost, zone) }) {
+				n += machines
+			}
+		} else if slices.ContainsFunc(v.status.Reach, func(z ZoneReach) bool { return z.Queue == queue && z.Zone == zone && z.Answered*2 >= z.Asked }) {
+			n += machines
+		}
+	}
+	return n
+}
+
+// outOfReach tells whether a machine should not be sent to its queue's holder, which
+// does not hear it: it would lose the time in which another could take over before its
+// lease ends. Either the holder said so, or it is not heard here and the worker, which
+// shows the holder's token, has left it.
+func (c *Core) outOfReach(r *Report, m storage.Machine, q storage.Versioned[storage.QueueRecord]) bool {
+	p := c.peers[q.Value.Holder.Member]
+	if p == nil || p.status.From != q.Value.Holder || c.now-p.at > 2*micros.Second {
+		return r.Token == q.Version
+	}
+	return slices.ContainsFunc(p.status.Queues, func(s QueueStatus) bool { return s.Queue == m.Queue && slices.Contains(s.Lost, m.Zone) })
+}
+
+// zoneView is how a holder hears the machines of one zone.
+type zoneView struct {
+	up    int
+	heard micros.Time // a quarter of them was heard since
+	lost  micros.Time // since when it counts as lost; 0: it does not
+}
+
+const (
+	// zonesPace is how often zones are looked at.
+	zonesPace = 100 * micros.Millisecond
+	// fewMachines are too few to tell a zone's silence from their own.
+	fewMachines = 3
+	// verdictFor is how long a holder waits for its siblings to say whether they reach
+	// a zone that it does not hear.
+	verdictFor = 2500 * micros.Millisecond
+)
+
+// viewZones looks at how the zones are heard. Machines of a zone that fall silent all
+// at once may only be out of this controller's reach: its siblings are asked.
+func (h *holder) viewZones() {
+	now := h.c.now
+	if now-h.zonesAt < zonesPace {
+		return
+	}
+	h.zonesAt = now
+	seen := map[string][]micros.Time{}
+	for _, m := range h.machines {
+		if m.session != 0 || m.block.Used {
+			seen[m.block.Zone] = append(seen[m.block.Zone], m.seen)
+		}
+	}
+	for zone := range h.zones {
+		if seen[zone] == nil {
+			delete(h.zones, zone)
+		}
+	}
+	for _, zone := range sortedKeys(seen) {
+		times, v := seen[zone], h.zones[zone]
+		if v == nil {
+			v = &zoneView{}
+			h.zones[zone] = v
+		}
+		slices.SortFunc(times, func(a, b micros.Time) int { return cmp.Compare(b, a) })
+		v.up, v.heard = len(times), times[len(times)/4]
+		quiet := h.zoneQuiet(v)
+		if quiet >= h.silence()*3/10 {
+			// Workers that wait for the answer of a holder that was cut off do not report
+			// for some seconds: only what does not answer either is not heard.
+			for i, m := range h.machines {
+				if i%2 == 0 && m.block.Zone == zone && !m.calling && m.addr != "" && now-m.probed > micros.Second {
+					h.toProbe = append(h.toProbe, m)
+				}
+			}
+		}
+		switch {
+		case v.up <= fewMachines || quiet < h.silence()*3/5:
+			v.lost = 0
+		case v.lost == 0:
+			v.lost = now
+			h.c.statusUp = true
+			h.c.log(levelInfo, "zone is not heard", "zone", zone, "machines", v.up)
+		}
+	}
+}
+
+// zoneQuiet is how long a quarter of a zone's machines has not been heard.
+func (h *holder) zoneQuiet(v *zoneView) micros.Time { return h.c.now - max(v.heard, h.calmAt) }
+
+// lostZones are the zones that this holder does not hear.
+func (h *holder) lostZones() []string {
+	var out []string
+	for _, zone := range sortedKeys(h.zones) {
+		if h.zones[zone].lost != 0 {
+			out = append(out, zone)
+		}
+	}
+	return out
+}
+
+// zoneInDoubt tells whether it is open if machines of a zone that fell silent together
+// are gone, or out of this controller's reach only. None of them is given up until the
+// siblings that can be heard have said that they do not reach them either; while one
+// does, it is waited for a while longer that it takes the queue over.
+func (h *holder) zoneInDoubt(zone string) bool {
+	v := h.zones[zone]
+	if v == nil || v.up <= fewMachines || h.zoneQuiet(v) < h.silence()*3/10 {
+		return false
+	}
+	if v.lost == 0 {
+		return true
+	}
+	asked, reached := 0, false
+	for member, p := range h.c.peers {
+		if member == h.c.proc.Member || h.c.now-p.at > 2*micros.Second {
+			continue
+		}
+		i := slices.IndexFunc(p.status.Reach, func(z ZoneReach) bool { return z.Queue == h.queue && z.Zone == zone })
+		if i < 0 {
+			asked++
+		} else if z := p.status.Reach[i]; z.Answered*2 >= z.Asked {
+			reached = true
+		}
+	}
+	wait := h.c.now - v.lost
+	if reached {
+		return wait < verdictFor+h.silence()
+	}
+	return asked > 0 && wait < verdictFor
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -5,7 +5,6 @@
 
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/micros"
-	"pipitlatch/internal/storage"
 )
 
 // report answers a worker.
@@ -30,11 +29,8 @@
 	}
 	h := c.holders[b.Value.Queue]
 	if h == nil {
-		c.strays[r.Machine] = stray{c.now, b.Value.Queue}
 		q, ok := c.replica.Queues[b.Value.Queue]
-		// A worker sent back to a holder that cannot hear it would lose the time in
-		// which another could take over before its lease ends.
-		if ok && q.Value.Holder.Member != c.proc.Member && c.replica.Live(q.Value.Holder) && !c.alone() && !c.saidDeaf(b.Value.Queue, q) {
+		if ok && q.Value.Holder.Member != c.proc.Member && c.replica.Live(q.Value.Holder) && !c.alone() && !c.outOfReach(r, b.Value, q) {
 			c.answer(Answer{Request: in.Request, Kind: Elsewhere, Steward: q.Value.Holder.Member})
 		} else {
 			c.unavailable(in.Request, "no holder")
@@ -44,14 +40,6 @@
 	h.report(in, h.machine(r.Machine))
 }
 
-// saidDeaf tells whether a queue's holder said of late that it does not hear its
-// machines.
-func (c *Core) saidDeaf(queue int, q storage.Versioned[storage.QueueRecord]) bool {
-	p := c.peers[q.Value.Holder.Member]
-	return p != nil && c.now-p.at < 2*micros.Second && p.status.From == q.Value.Holder &&
-		slices.ContainsFunc(p.status.Queues, func(s QueueStatus) bool { return s.Queue == queue && s.Deaf })
-}
-
 func (h *holder) report(in *ReportIn, m *machine) {
 	r := in.Report
 	switch {
@@ -300,6 +288,12 @@
 	}
 	a.j.live[t.Task] = a
 	a.j.waiting.Remove(t.Task)
+	if t.State == Running {
+		// The image is there, and the run is at least as old as this lease: without
+		// that, every takeover forgot where images are and when machines will be free.
+		a.running = h.c.now
+		m.useImage(a.j.Image, a.j.ImageGB)
+	}
 	if a.j.finished(t.Task) {
 		h.stop(a, 0)
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -52,12 +52,12 @@
 
 func TestStatusRoundTrip(t *testing.T) {
 	s := &coordination.Status{From: storage.Process{Member: "a", Incarnation: "x"}, Revision: 77, StateOK: true,
-		Queues: []coordination.QueueStatus{{Queue: 1, Token: 9, Deaf: true, Release: []string{"vm-1"}, Idle: []string{"vm-2", "vm-3"},
+		Queues: []coordination.QueueStatus{{Queue: 1, Token: 9, Lost: []string{"a", "b"}, Release: []string{"vm-1"}, Idle: []string{"vm-2", "vm-3"},
 			Needs: []fleet.Need{{Each: bookkeeping.Resources{CPU: 1, GPU: 2, Mem: 3}, Count: 4, Spot: true, Types: []string{"t"}, Zone: "z",
 				Service: true, Replicas: 5, Urgent: true, Hold: 6}}}},
 		Gone: []string{"vm-9"}, Shifts: []coordination.Shift{{Machine: "vm-4", To: 1}},
 		Progress: []coordination.JobProgress{{ID: "wk-1", Done: 2, Running: 3}},
-		Used:     storage.Usage{Requests: 1500, Writes: 2500}, Heard: map[int]int{0: 3, 1: 4}}
+		Used:     storage.Usage{Requests: 1500, Writes: 2500}, Reach: []coordination.ZoneReach{{Queue: 1, Zone: "a", Asked: 8, Answered: 5}}}
 	got, err := DecodeStatus(EncodeStatus(s))
 	if err != nil || !reflect.DeepEqual(got, s) {
 		t.Errorf("got %+v, %v", got, err)
--- a/internal/protocol/siblings.go
+++ b/internal/protocol/siblings.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 
 	flatbuffers "github.com/google/flatbuffers/go"
 
@@ -57,14 +55,14 @@
 			wire.NeedAddUrgent(b, n.Urgent)
 			needs = append(needs, wire.NeedEnd(b))
 		}
-		nv, release, idle := vector(b, needs), strings(b, q.Release), strings(b, q.Idle)
+		nv, release, idle, lost := vector(b, needs), strings(b, q.Release), strings(b, q.Idle), strings(b, q.Lost)
 		wire.QueueStatusStart(b)
 		wire.QueueStatusAddQueue(b, int32(q.Queue))
 		wire.QueueStatusAddToken(b, q.Token)
 		wire.QueueStatusAddNeeds(b, nv)
 		wire.QueueStatusAddRelease(b, release)
 		wire.QueueStatusAddIdle(b, idle)
-		wire.QueueStatusAddDeaf(b, q.Deaf)
+		wire.QueueStatusAddLost(b, lost)
 		queues = append(queues, wire.QueueStatusEnd(b))
 	}
 	for _, sh := range s.Shifts {
@@ -82,14 +80,17 @@
 		wire.ProgressAddRunning(b, int32(p.Running))
 		progress = append(progress, wire.ProgressEnd(b))
 	}
-	var heard []flatbuffers.UOffsetT
-	for _, n := range slices.Sorted(maps.Keys(s.Heard)) {
-		wire.QueueCountStart(b)
-		wire.QueueCountAddQueue(b, int32(n))
-		wire.QueueCountAddCount(b, int32(s.Heard[n]))
-		heard = append(heard, wire.QueueCountEnd(b))
+	var reach []flatbuffers.UOffsetT
+	for _, z := range s.Reach {
+		zone := b.CreateString(z.Zone)
+		wire.ZoneReachStart(b)
+		wire.ZoneReachAddQueue(b, int32(z.Queue))
+		wire.ZoneReachAddZone(b, zone)
+		wire.ZoneReachAddAsked(b, int32(z.Asked))
+		wire.ZoneReachAddAnswered(b, int32(z.Answered))
+		reach = append(reach, wire.ZoneReachEnd(b))
 	}
-	hv := vector(b, heard)
+	rv := vector(b, reach)
 	qv, gone, sv, pv := vector(b, queues), strings(b, s.Gone), vector(b, shifts), vector(b, progress)
 	member, inc := b.CreateString(s.From.Member), b.CreateString(s.From.Incarnation)
 	wire.StatusStart(b)
@@ -103,7 +104,7 @@
 	wire.StatusAddProgress(b, pv)
 	wire.StatusAddRequests(b, s.Used.Requests)
 	wire.StatusAddWrites(b, s.Used.Writes)
-	wire.StatusAddHeard(b, hv)
+	wire.StatusAddReach(b, rv)
 	b.Finish(wire.StatusEnd(b))
 	return b.FinishedBytes()
 }
@@ -130,17 +131,17 @@
 	w := wire.GetRootAsStatus(raw, 0)
 	s = &coordination.Status{From: storage.Process{Member: string(w.Member()), Incarnation: string(w.Incarnation())},
 		Revision: w.Revision(), StateOK: w.StateOk(), Gone: stringList(w.GoneLength(), w.Gone),
-		Used: storage.Usage{Requests: w.Requests(), Writes: w.Writes()}, Heard: map[int]int{}}
-	for i := range w.HeardLength() {
-		var n wire.QueueCount
-		w.Heard(&n, i)
-		s.Heard[int(n.Queue())] = int(n.Count())
+		Used: storage.Usage{Requests: w.Requests(), Writes: w.Writes()}}
+	for i := range w.ReachLength() {
+		var z wire.ZoneReach
+		w.Reach(&z, i)
+		s.Reach = append(s.Reach, coordination.ZoneReach{Queue: int(z.Queue()), Zone: string(z.Zone()), Asked: int(z.Asked()), Answered: int(z.Answered())})
 	}
 	for i := range w.QueuesLength() {
 		var q wire.QueueStatus
 		w.Queues(&q, i)
 		out := coordination.QueueStatus{Queue: int(q.Queue()), Token: q.Token(),
-			Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle), Deaf: q.Deaf()}
+			Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle), Lost: stringList(q.LostLength(), q.Lost)}
 		for k := range q.NeedsLength() {
 			var n wire.Need
 			q.Needs(&n, k)
--- a/internal/protocol/wire/QueueStatus.go
+++ b/internal/protocol/wire/QueueStatus.go
@@ -111,16 +111,21 @@
 	return 0
 }
 
-func (rcv *QueueStatus) Deaf() bool {
+func (rcv *QueueStatus) Lost(j int) []byte {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
 	if o != 0 {
-		return rcv._tab.GetBool(o + rcv._tab.Pos)
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
 	}
-	return false
+	return nil
 }
 
-func (rcv *QueueStatus) MutateDeaf(n bool) bool {
-	return rcv._tab.MutateBoolSlot(14, n)
+func (rcv *QueueStatus) LostLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
 }
 
 func QueueStatusStart(builder *flatbuffers.Builder) {
@@ -150,8 +155,11 @@
 func QueueStatusStartIdleVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func QueueStatusAddDeaf(builder *flatbuffers.Builder, deaf bool) {
-	builder.PrependBoolSlot(5, deaf, false)
+func QueueStatusAddLost(builder *flatbuffers.Builder, lost flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(lost), 0)
+}
+func QueueStatusStartLostVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
 }
 func QueueStatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/internal/protocol/wire/Status.go
+++ b/internal/protocol/wire/Status.go
@@ -174,7 +174,7 @@
 	return rcv._tab.MutateInt64Slot(22, n)
 }
 
-func (rcv *Status) Heard(obj *QueueCount, j int) bool {
+func (rcv *Status) Reach(obj *ZoneReach, j int) bool {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
@@ -186,7 +186,7 @@
 	return false
 }
 
-func (rcv *Status) HeardLength() int {
+func (rcv *Status) ReachLength() int {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
@@ -239,10 +239,10 @@
 func StatusAddWrites(builder *flatbuffers.Builder, writes int64) {
 	builder.PrependInt64Slot(9, writes, 0)
 }
-func StatusAddHeard(builder *flatbuffers.Builder, heard flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(heard), 0)
+func StatusAddReach(builder *flatbuffers.Builder, reach flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(reach), 0)
 }
-func StatusStartHeardVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+func StatusStartReachVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
 func StatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -127,8 +127,15 @@
 	w := &World{rng: rand.New(rand.NewPCG(seed, 7)), logf: logf}
 	nodes := int(l.num("nodes", 3))
 	var toml strings.Builder
-	fmt.Fprintf(&toml, "zone = \"a\"\nlisten = \"10.0.0.1:8080\"\ninternal_addr = \"10.0.0.1:8081\"\n[services]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n")
-	fmt.Fprintf(&toml, "[settings]\nnodes = %d\nzones = [\"a\", \"b\"]\nskew_ms = 5.0\n", nodes)
+	zones := []string{"a", "b"}
+	nodeZones := []string{"a"}
+	if l.set["zones"] != "" {
+		zones = strings.Split(l.set["zones"], ",")
+		nodeZones, w.zoned = zones, true
+	}
+	w.distance = micros.FromSeconds(l.num("distance_ms", 0) / 1000)
+	fmt.Fprintf(&toml, "listen = \"10.0.0.1:8080\"\ninternal_addr = \"10.0.0.1:8081\"\n[services]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n")
+	fmt.Fprintf(&toml, "[settings]\nnodes = %d\nzones = [\"%s\"]\nskew_ms = 5.0\n", nodes, strings.Join(zones, "\", \""))
 	teams := l.set["teams"]
 	if teams == "" {
 		teams = "alpha"
@@ -144,16 +151,17 @@
 	}
 	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
 	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
-	fmt.Fprintf(&toml, "[settings.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = 125.0\nmax_connections = %d\n", int(l.num("connections", 1000)))
+	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = 125.0\nmax_connections = %d\n", l.num("cloud_rps", 6), int(l.num("connections", 1000)))
 	operator := fmt.Sprintf("queues: %d", int(l.num("queues", 1)))
 	for i := range nodes {
 		var own strings.Builder
-		fmt.Fprintf(&own, "member = \"node-%d\"\n", i)
+		zone := func(k int) string { return nodeZones[k%len(nodeZones)] }
+		fmt.Fprintf(&own, "member = \"node-%d\"\nzone = %q\n", i, zone(i))
 		body := toml.String()
 		var sib strings.Builder
 		for k := range nodes {
 			if k != i {
-				fmt.Fprintf(&sib, "[[siblings]]\nmember = \"node-%d\"\nzone = \"a\"\naddress = \"10.0.0.%d:8081\"\n", k, k+1)
+				fmt.Fprintf(&sib, "[[siblings]]\nmember = \"node-%d\"\nzone = %q\naddress = \"10.0.0.%d:8081\"\n", k, zone(k), k+1)
 			}
 		}
 		conf, err := config.Parse([]byte(own.String()+strings.Replace(body, "[services]", sib.String()+"[services]", 1)), []byte(operator))
@@ -209,6 +217,23 @@
 	return nil
 }
 
+// zoneWord names the zone of the holder, the next one or the one after that.
+func (w *World) zoneWord(what string) string {
+	for i, z := range w.conf.Settings.Zones {
+		if z == w.holder().conf.Zone {
+			switch n := len(w.conf.Settings.Zones); what {
+			case "holder-zone":
+				return "zone-" + z
+			case "next-zone":
+				return "zone-" + w.conf.Settings.Zones[(i+1)%n]
+			case "third-zone":
+				return "zone-" + w.conf.Settings.Zones[(i+2)%n]
+			}
+		}
+	}
+	return what
+}
+
 var actions = map[string]bool{"submit": true, "resubmit": true, "cancel": true, "strangers": true, "crash": true, "start": true, "roll": true,
 	"pause": true, "cut": true, "alone": true, "state": true, "cloud": true, "worker": true}
 
@@ -305,6 +330,10 @@
 				ends[i] = []string{""}
 				continue
 			}
+			if what = w.zoneWord(what); w.zoned && strings.HasPrefix(what, "zone-") {
+				ends[i] = []string{what}
+				continue
+			}
 			for _, n := range w.nodesFor(what) {
 				ends[i] = append(ends[i], n.name)
 			}
@@ -488,6 +517,20 @@
 		if m := w.cloud.machines[ref]; m == nil || !m.deleted {
 			return "it is there"
 		}
+	case "takeovers": // how often a queue got a holder
+		if float64(w.taken) > l.num("most", 1e9) || float64(w.taken) < l.num("least", 0) {
+			return strconv.Itoa(w.taken)
+		}
+	case "lost": // starts beyond one a task, of all jobs that were not cancelled
+		n := 0
+		for _, j := range w.users.jobs {
+			if j.cancelled == 0 {
+				n += max(0, j.starts-len(j.done))
+			}
+		}
+		if float64(n) > l.num("most", 0) {
+			return strconv.Itoa(n)
+		}
 	case "holders":
 		got := map[string]bool{}
 		for _, m := range w.cloud.sorted() {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 
 	"pipitlatch/internal/config"
 	"pipitlatch/internal/coordination"
@@ -37,7 +38,8 @@
 	return x
 }
 
-// cut is an interruption between two hosts, or between one host and all others.
+// cut is an interruption between two hosts, or between one host and all others. An
+// end may be a zone, with all that is in it now or later.
 type cut struct {
 	a, b string // b "": everybody
 	hold bool   // packets are delivered afterwards, instead of never
@@ -60,8 +62,12 @@
 	vain    int         // starts sent into a cut
 	calm    micros.Time // when the last trouble so far is over
 	unknown micros.Time // the longest that a holder did not know all its machines
-	broken  []string
-	logf    func(string, ...any)
+	taken   int         // how often a queue got a holder
+
+	distance micros.Time // between zones, one way
+	zoned    bool        // controllers are in zones too
+	broken   []string
+	logf     func(string, ...any)
 
 	// With controllers that are real processes: how a worker's report is sent, and
 	// the address it listens at.
@@ -94,13 +100,38 @@
 // cutBetween finds what keeps packets from a from reaching b.
 func (w *World) cutBetween(a, b string) *cut {
 	for _, c := range w.cuts {
-		if (c.a == b && (c.b == "" || c.b == a)) || (!c.into && c.a == a && (c.b == "" || c.b == b)) {
+		if w.cutOff(c, b, a) || (!c.into && w.cutOff(c, a, b)) {
 			return c
 		}
 	}
 	return nil
 }
 
+// cutOff tells whether one host is on the one side of a cut and the other on the other.
+func (w *World) cutOff(c *cut, one, other string) bool {
+	if c.b == "" {
+		return w.at(c.a, one) && !w.at(c.a, other)
+	}
+	return w.at(c.a, one) && w.at(c.b, other)
+}
+
+// at tells whether a host is at an end of a cut: the host itself, or its zone.
+func (w *World) at(end, host string) bool {
+	zone, ok := strings.CutPrefix(end, "zone-")
+	return end == host || (ok && w.zoneOf(host) == zone)
+}
+
+// zoneOf is a host's zone; the state service, the cloud and users are in none.
+func (w *World) zoneOf(host string) string {
+	if n := w.node(host); n != nil {
+		return n.conf.Zone
+	}
+	if m := w.cloud.machines[host]; m != nil {
+		return m.zone
+	}
+	return ""
+}
+
 // send delivers a packet after the network's delay, or holds or drops it.
 func (w *World) send(from, to string, run func()) {
 	if c := w.cutBetween(from, to); c != nil {
@@ -109,7 +140,13 @@
 		}
 		return
 	}
-	w.after(200+w.rng.Int64N(300), run)
+	delay := 200 + w.rng.Int64N(300)
+	if w.distance > 0 {
+		if a, b := w.zoneOf(from), w.zoneOf(to); a != "" && b != "" && a != b {
+			delay += w.distance
+		}
+	}
+	w.after(delay, run)
 }
 
 func (w *World) startCut(c *cut, length micros.Time) {
@@ -179,6 +216,9 @@
 		if l.Text == "task on two machines" {
 			w.breakRule("conflict", "%s: %v", n.name, l.Args)
 		}
+		if l.Text == "queue taken" {
+			w.taken++
+		}
 		if l.Text == "all machines known" && len(l.Args) == 4 {
 			if ms, ok := l.Args[3].(micros.Time); ok {
 				w.unknown = max(w.unknown, ms*micros.Millisecond)
