--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -184,7 +184,7 @@
 			// Workers that wait for the answer of a holder that was cut off do not report
 			// for some seconds: only what does not answer either is not heard.
 			for i, m := range h.machines {
-				if i%2 == 0 && m.block.Zone == zone && !m.calling && m.addr != "" && now-m.probed > micros.Second {
+				if i%2 == 0 && m.block.Zone == zone && (m.session != 0 || m.block.Used) && !m.calling && m.addr != "" && now-m.probed > micros.Second {
 					h.toProbe = append(h.toProbe, m)
 				}
 			}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -271,7 +271,7 @@
 			w.breakRule("sockets", "%s: %d calls to workers at once", n.name, n.calling)
 		}
 		n.call(target, c.Timeout, func(reply func(int, []byte)) {
-			if m == nil || m.gone {
+			if m == nil || m.gone || !m.booted {
 				return
 			}
 			if c.Show {
