Nothing is rented in a zone that is not heard, and one that is cut off deletes nothing

Cause, found on apart and by zone_with_holder_cut: (1) while a zone is cut off for 90 s, 190 machines were rented there anew, came up unheard and were paid for; (2) a leader within the cut took all others for silent and asked the cloud to delete them; held packets were delivered when the cut ended, and machines that served another holder by then were gone.

Change: a zone that is not heard is tried with one machine of each offer at a time, what boots there is not planned with, and a new holder takes over what the last one said of it; a leader that hears neither state service nor siblings deletes nothing.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -118,6 +118,7 @@
 	for _, id := range sortedKeys(c.replica.Jobs) {
 		h.jobChanged(id)
 	}
+	h.lostBefore()
 	return h
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -193,7 +193,9 @@
 // machines, and all on them, are gone.
 func (c *Core) deleteMachines() {
 	l := &c.leader
-	if l.deleteCall || c.now < l.deleteAt {
+	// One that is cut off hears nobody, and what it asks of the cloud may be carried
+	// out when the cut ends: it would delete machines that serve another by then.
+	if l.deleteCall || c.now < l.deleteAt || c.alone() {
 		return
 	}
 	var names []string
@@ -480,7 +482,12 @@
 		for _, n := range needs {
 			c.log(levelDebug, "need", "queue", q.Queue, "count", n.Count, "cpu", n.Each.CPU, "service", n.Service, "urgent", n.Urgent)
 		}
-		most := func(o fleet.Offer) int { return l.exhausted.Limit(o, c.now) }
+		most := func(o fleet.Offer) int {
+			if slices.Contains(q.Lost, o.Zone) {
+				return min(l.exhausted.Limit(o, c.now), c.tries(o.Zone))
+			}
+			return l.exhausted.Limit(o, c.now)
+		}
 		for _, r := range fleet.Choose(needs, c.catalog, most, maxRound/max(1, len(statuses))) {
 			for r.Count > 0 && c.takeCloud() {
 				part := r
@@ -493,6 +500,20 @@
 	l.rentAt = c.now + rentPace
 }
 
+// zoneTries is how many machines of each offer are rented in a zone that is not heard,
+// to find out when it is again. More would come up, and cost, without being heard.
+const zoneTries = 1
+
+// tries is how many machines may be rented in a zone that is not heard.
+func (c *Core) tries(zone string) int {
+	for _, m := range c.replica.Machines {
+		if m.Value.Zone == zone && !m.Value.Used {
+			return 0
+		}
+	}
+	return zoneTries
+}
+
 // takeCloud keeps rentals within the greater part of the cloud's limit; lists,
 // deletions and the siblings' calls have the rest.
 func (c *Core) takeCloud() bool {
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -166,9 +166,11 @@
 			seen[m.block.Zone] = append(seen[m.block.Zone], m.seen)
 		}
 	}
-	for zone := range h.zones {
+	for zone, v := range h.zones {
 		if seen[zone] == nil {
-			delete(h.zones, zone)
+			// All its machines were given up. A zone that was lost stays so until one
+			// that was rented to try it is heard.
+			v.up = 0
 		}
 	}
 	for _, zone := range sortedKeys(seen) {
@@ -190,9 +192,9 @@
 			}
 		}
 		switch {
-		case v.up <= fewMachines || quiet < h.silence()*3/5:
+		case quiet < h.silence()*3/5:
 			v.lost = 0
-		case v.lost == 0:
+		case v.lost == 0 && v.up > fewMachines:
 			v.lost = now
 			h.c.statusUp = true
 			h.c.log(levelInfo, "zone is not heard", "zone", zone, "machines", v.up)
@@ -200,6 +202,26 @@
 	}
 }
 
+// lostBefore takes the zones that the last holder, as far as it told, did not hear.
+func (h *holder) lostBefore() {
+	for _, member := range sortedKeys(h.c.peers) {
+		p := h.c.peers[member]
+		if h.c.now-p.at > reachFor {
+			continue
+		}
+		for _, q := range p.status.Queues {
+			for _, zone := range q.Lost {
+				if q.Queue == h.queue {
+					h.zones[zone] = &zoneView{lost: h.c.now}
+				}
+			}
+		}
+	}
+}
+
+// zoneLost tells whether a zone is not heard: what boots there cannot be counted on.
+func (h *holder) zoneLost(zone string) bool { return h.zones[zone] != nil && h.zones[zone].lost != 0 }
+
 // zoneQuiet is how long a quarter of a zone's machines has not been heard.
 func (h *holder) zoneQuiet(v *zoneView) micros.Time { return h.c.now - max(v.heard, h.calmAt) }
 
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -301,7 +301,7 @@
 	if m.session != 0 {
 		return m.known && !m.expired && h.c.now-m.seen < h.silence() // about to be usable
 	}
-	return !m.block.Used && h.c.now-m.added < m.kind.Boot*3/2
+	return !m.block.Used && !h.zoneLost(m.block.Zone) && h.c.now-m.added < m.kind.Boot*3/2
 }
 
 // remaining is how much longer an attempt is expected to take its room.
