--- a/internal/coordination/surplus.go
+++ b/internal/coordination/surplus.go
@@ -39,7 +39,7 @@
 		}
 	}
 	most := max(maxLeaving, len(h.machines)/8)
-	if leaving >= most || now-h.mergedAt < movePace || now-h.taken < 10*micros.Second {
+	if leaving >= most || now-h.mergedAt < movePace || now-h.taken < 10*micros.Second || h.c.term.Age(now) >= staleAfter {
 		return
 	}
 	h.mergedAt = now
@@ -130,6 +130,16 @@
 // returnIdle gives machines back that have had no task for a while and are not
 // part of the spare room for services.
 func (h *holder) returnIdle() {
+	if h.c.term.Age(h.c.now) >= staleAfter {
+		// Nothing can be submitted while the state service is out: all users come back
+		// at once, and what was given back would have to boot first.
+		for _, m := range h.machines {
+			if m.idle != 0 {
+				m.idle = h.c.now
+			}
+		}
+		return
+	}
 	kind, _ := h.spareMissing(nil, true)
 	large := h.oversized(kind)
 	for _, m := range h.machines {
