Urgent and guaranteed tasks start in the place of work just begun

Cause: with the cloud empty, an urgent task of half a minute that is to start within 2 s, and a job within its team's guarantee that is to start within 5 s, wait until others end, behind what borrows.

Change, an exception to the design: where a `wait` or `guarantee` objective would be missed, all missing tasks of the job start at once in the place of work begun for less than a quarter of the job's run time: of lower priority, or borrowed by another team. Never of a job within its own guarantee, nor one that would miss its deadline for it, and no task twice. All missing tasks find a place, or nothing is stopped.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -66,7 +66,9 @@
 	ranN    int
 	est     micros.Time // estimate of a task as of estAt
 	estAt   micros.Time
-	double  []*attempt // second attempts at a live task, being stopped
+	sure    bool                 // it was within its team's guarantee when it was planned
+	spared  *bookkeeping.TaskSet // stopped once for another job, and not again
+	double  []*attempt           // second attempts at a live task, being stopped
 }
 
 func (j *job) finished(task int) bool {
@@ -236,7 +238,8 @@
 		return
 	}
 	j = &job{Job: e.Job, version: e.Version, entry: e, waiting: bookkeeping.NewTaskSet(e.Job.Tasks),
-		pending: bookkeeping.NewTaskSet(e.Job.Tasks), live: map[int]*attempt{}, chunks: map[int]bool{}}
+		pending: bookkeeping.NewTaskSet(e.Job.Tasks), live: map[int]*attempt{}, chunks: map[int]bool{},
+		spared: bookkeeping.NewTaskSet(e.Job.Tasks)}
 	for t := range e.Job.Tasks {
 		if !j.finished(t) {
 			j.waiting.Add(t)
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -66,6 +66,7 @@
 			continue
 		}
 		r := ranked{j, h.queued(j), h.guaranteed(j), h.pressed(j)}
+		j.sure = j.sure || r.guaranteed
 		if j.Kind == bookkeeping.Service {
 			services = append(services, r)
 		} else {
@@ -418,6 +419,8 @@
 	waiting := j.waiting.Len()
 	count := min(waiting, allowed, *left)
 	tardy := 0
+	by, wanted := h.startBy(r)
+	late := 0 // tasks that would start later than an objective wants
 	boot := micros.Max
 	for _, t := range h.c.catalog {
 		if j.AllowsType(t.Name) && j.Need.Fits(t.Capacity) {
@@ -430,6 +433,9 @@
 			h.start(j, m, s.Length)
 			return
 		}
+		if s.Start > by {
+			late++
+		}
 		// A machine rented now helps only tasks that would start after its boot.
 		// It is rented before a slot is surely too late: the slots are reckoned with
 		// estimates, and a fleet that is rented when these have shown to be too low
@@ -439,6 +445,9 @@
 		}
 	})
 	*left -= placed
+	if wanted {
+		h.reclaim(r, late+count-placed, by)
+	}
 	short := min(waiting, allowed) - placed + tardy
 	if short <= 0 {
 		return nil
