--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -52,6 +52,7 @@
 	failed     int         // calls without an answer, in a row
 	vainAt     micros.Time // when the first of them was sent
 	lostStarts bool        // a start got no answer
+	evacuated  bool        // what will not end before it is taken was stopped
 }
 
 type image struct {
@@ -213,7 +214,7 @@
 		h.emptied(m)
 		m.expired = true
 	}
-	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (m.failed > 0 || m.ack != h.token || (quiet > h.silence()/4 && quiet > h.askAfter(m))) {
+	if up && m.addr != "" && !m.calling && now-m.probed > micros.Second && (m.failed > 0 || m.ack != h.token || (m.notice != 0 && now > m.notice) || (quiet > h.silence()/4 && quiet > h.askAfter(m))) {
 		h.toProbe = append(h.toProbe, m)
 	}
 	if m.draining == "" {
@@ -228,6 +229,9 @@
 		case up && m.expired && quiet > 3*h.c.cfg.LeaseRunOut():
 			// Long empty; a fault near this controller would have shown by now.
 			h.drain(m, "silent")
+		case up && m.notice != 0 && now > m.notice+micros.Second && m.failed > 0:
+			// It was to be taken by now, and does not answer.
+			h.drain(m, "silent")
 		case m.vain > maxVain && m.failed > 1:
 			h.drain(m, "unreachable")
 		case !m.known && m.failed > 1 && h.mostKnown():
@@ -253,6 +257,28 @@
 	}
 }
 
+// evacuate stops what will not have ended when the cloud takes the machine: it would
+// be lost then, and begins elsewhere by the time of the notice sooner; what can save
+// its progress does so.
+func (h *holder) evacuate(m *machine) {
+	if m.notice == 0 || m.evacuated || m.ack != h.token || !m.known {
+		return
+	}
+	m.evacuated = true
+	left := m.notice - h.c.now
+	for _, id := range sortedAttempts(m) {
+		a := m.attempts[id]
+		if a.state == Exited || a.stop || a.j == nil || a.j.Kind == bookkeeping.Service || h.remaining(a) <= left {
+			continue
+		}
+		grace := micros.Time(0)
+		if a.j.CheckpointEvery > 0 && a.j.SaveTime < left {
+			grace = a.j.SaveTime
+		}
+		h.stop(a, grace)
+	}
+}
+
 // unresolved tells whether a start was sent in vain, is no longer wanted, and
 // has not been settled for a good part of a worker's lease.
 func (h *holder) unresolved(m *machine) bool {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -230,6 +230,7 @@
 		m.known = true
 		h.dirty = true
 	}
+	h.evacuate(m)
 }
 
 // oddEvery bounds what stale and contradictory reports make us log.
