--- a/internal/coordination/reclaim.go
+++ b/internal/coordination/reclaim.go
@@ -32,8 +32,10 @@
 // guarantee while this job is within its own. Exception to the design, whose tasks are
 // not preempted: an urgent task of half a minute cannot wait for one that takes a
 // minute, and a guarantee is no guarantee that waits for what others borrow. A task is
-// stopped for this once only, so none is put off without end.
-func (h *holder) reclaim(r ranked, missing int, by micros.Time) {
+// stopped for this once only, so none is put off without end. Where it is the team's
+// limit that leaves no room, only work of the team itself makes some: what is started
+// takes no more than what was stopped right before on the same machine.
+func (h *holder) reclaim(r ranked, missing int, by micros.Time, limited bool) {
 	j, now := r.j, h.c.now
 	if missing <= 0 || by <= now || j.OneZone || j.Spread {
 		return
@@ -53,7 +55,7 @@
 		}
 		var own []*attempt
 		for _, a := range m.attempts {
-			if h.reclaimable(r, a, borrowed) {
+			if h.reclaimable(r, a, borrowed, limited) {
 				own = append(own, a)
 			}
 		}
@@ -62,6 +64,12 @@
 		free := h.free(m)
 		had := int(j.Need.Count(free))
 		for _, a := range own {
+			if limited {
+				if k := int(j.Need.Count(a.need)); k > 0 {
+					found = append(found, victim{a, m, k, micros.Seconds(h.begun(a)) * float64(a.need.CPU) / float64(k)})
+				}
+				continue
+			}
 			if k := int(j.Need.Count(free.Add(a.need))); k > had {
 				found = append(found, victim{a, m, k - had, micros.Seconds(h.begun(a)) * float64(a.need.CPU) / float64(k-had)})
 				free, had = free.Add(a.need), k
@@ -105,8 +113,14 @@
 const reclaimPart = 4
 
 // reclaimable tells whether an attempt may be stopped for a job.
-func (h *holder) reclaimable(r ranked, a *attempt, borrowed map[string]int64) bool {
-	if a.state == Exited || a.stop || !a.sent || a.j == nil || a.j == r.j || a.j.sure || a.j.spared.Has(a.id.Task) || h.begun(a) > r.q.P/reclaimPart {
+func (h *holder) reclaimable(r ranked, a *attempt, borrowed map[string]int64, limited bool) bool {
+	if a.state == Exited || a.stop || !a.shown || a.open+a.lost > 0 || a.j == nil || a.j == r.j || a.j.sure || a.j.spared.Has(a.id.Task) {
+		return false
+	}
+	if limited {
+		return a.j.Team == r.j.Team && a.j.Priority < r.j.Priority && h.begun(a) <= h.estimate(a.j)/reclaimPart
+	}
+	if h.begun(a) > r.q.P/reclaimPart {
 		return false
 	}
 	if due := h.c.now - (h.c.wall - a.j.Submitted) + a.j.Deadline; a.j.Deadline > 0 && due > h.c.now && due < h.c.now+2*h.estimate(a.j) {
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -446,7 +446,8 @@
 	})
 	*left -= placed
 	if wanted {
-		h.reclaim(r, late+count-placed, by)
+		h.reclaim(r, late+count-placed, by, false)
+		h.reclaim(r, min(waiting-allowed, *left), by, true)
 	}
 	short := min(waiting, allowed) - placed + tardy
 	if short <= 0 {
