Jobs that were over long ago leave the memory, and a start reads what is open

Every controller kept every finished job, and a start listed them all. Now the leader moves the oldest ones, beyond a sixteenth of the memory, to keys that sort last: a list ends there. Whoever asks for a job that is not in memory gets what its record says, read after the barrier, so that a job on its way from one key to the other is found; 503 if it cannot be read. A submission's condition names both keys. Nothing is moved before its tasks are surely off the machines. A cancellation deletes the stored ranges of the job's finished tasks, which stayed for ever.

That a record which cannot be read is 503 no scenario notices: the barrier fails first in an outage.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -281,6 +281,19 @@
 	return s
 }
 
+// finishedBytes is about what a finished job takes in memory, measured.
+const finishedBytes = 400
+
+// KeepFinished is how many finished jobs every controller keeps in memory: a
+// sixteenth of it at most, and no more than a start reads in about a second within
+// its share of the state service's requests. Older ones are read when asked for.
+func (c *Config) KeepFinished() int {
+	s := &c.Settings
+	memory := s.MachineLimits.MemoryMB * 1e6 / 16 / finishedBytes
+	list := s.State.RPS / float64(max(1, s.Nodes)) * 500
+	return int(min(memory, list))
+}
+
 // Lease is the worker lease.
 func (c *Config) Lease() micros.Time { return micros.FromSeconds(c.Settings.Workers.LeaseS) }
 
--- /dev/null
+++ b/internal/coordination/archive.go
@@ -0,0 +1,110 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// archive is what the leader moves out of every controller's memory: records of jobs
+// that were over long ago. They stay in the state service under a key of their own and
+// are read when somebody asks.
+type archive struct {
+	at    micros.Time
+	moved bool // a transaction is out
+	ages  []revisionAt
+}
+
+// revisionAt dates a revision.
+type revisionAt struct {
+	at       micros.Time
+	revision uint64
+}
+
+const (
+	// archivePace bounds how often the records are looked through.
+	archivePace = micros.Second
+	// archivePart is the part of the state service's changes that goes into it.
+	archivePart = 6
+	// agePace is how often a revision is dated.
+	agePace = 10 * micros.Second
+)
+
+// tickArchive moves the jobs that were over first, as long as there are more than
+// are to be kept. None is moved before everything of it is surely off the machines:
+// until then its team's limit counts what its record says.
+func (c *Core) tickArchive() {
+	a := &c.leader.archive
+	if n := len(a.ages); n == 0 || c.now-a.ages[n-1].at >= agePace {
+		a.ages = append(a.ages, revisionAt{c.now, c.replica.Revision})
+	}
+	safe := 2*micros.FromSeconds(c.cfg.Settings.Workers.CancelS) + c.cfg.LeaseRunOut()
+	for len(a.ages) > 1 && c.now-a.ages[1].at > safe {
+		a.ages = a.ages[1:]
+	}
+	keep := c.cfg.KeepFinished()
+	if a.moved || c.now < a.at || len(c.replica.Jobs) <= keep || c.now-a.ages[0].at <= safe || !c.stateOK() {
+		return
+	}
+	a.at = c.now + archivePace
+	var over []*storage.JobEntry
+	for _, e := range c.replica.Jobs {
+		if e.Job.Phase != bookkeeping.Active {
+			over = append(over, e)
+		}
+	}
+	most := min(len(over)-keep, c.cfg.Settings.State.TxnOps/2)
+	if most <= 0 {
+		return
+	}
+	slices.SortFunc(over, func(x, y *storage.JobEntry) int { return cmp.Compare(x.Version, y.Version) })
+	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader()}}
+	for _, e := range over[:most] {
+		if e.Version > a.ages[0].revision {
+			break
+		}
+		key := c.keys.Job(e.Job.ID)
+		r.Conditions = append(r.Conditions, storage.Condition{Key: key, Version: e.Version})
+		r.Puts = append(r.Puts, storage.Put{Key: c.keys.Archive(e.Job.ID), Value: storage.Encode(e.Job)})
+		r.Deletes = append(r.Deletes, key)
+	}
+	if len(r.Puts) == 0 {
+		return
+	}
+	a.moved = c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) {
+		a.moved = false
+		a.at = c.now + max(archivePace, micros.FromSeconds(float64(r.Writes())*archivePart/c.cfg.Settings.State.WriteRPS))
+	})
+}
+
+// archived looks a job up that is not in memory, and calls then with its record, nil
+// if there is none. The replica must be fresh: a job that was open or kept then, and
+// is in the archive now, is found; one that is neither was never accepted.
+func (c *Core) archived(id string, then func(e *storage.JobEntry, ok bool)) {
+	if !c.replica.Archived {
+		then(nil, true) // nothing was ever moved
+		return
+	}
+	if !c.callState(&storage.Request{Kind: storage.Get, Key: c.keys.Archive(id)}, storage.Patient, micros.Second, func(r *storage.Reply) {
+		switch {
+		case r.Outcome == storage.NotFound:
+			then(nil, true)
+		case r.Outcome == storage.OK && len(r.Items) == 1:
+			e, err := storage.DecodeJob(r.Items[0])
+			if err != nil {
+				c.log(levelWarn, "bad record", "err", err)
+			}
+			then(e, err == nil)
+		default:
+			then(nil, false)
+		}
+	}) {
+		then(nil, false)
+	}
+}
+
+// Kept is how many jobs this controller keeps in memory.
+func (c *Core) Kept() int { return len(c.replica.Jobs) }
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -40,6 +40,7 @@
 	exhausted  *fleet.Exhausted
 	shifts     map[string][]Shift
 	shiftAt    micros.Time
+	archive    archive
 }
 
 func (l *leaderState) begin(c *Core) {
@@ -52,6 +53,7 @@
 	l.deaf = map[storage.Process]micros.Time{}
 	l.gone = map[string]micros.Time{}
 	l.counter = 0
+	l.archive = archive{}
 	c.log(levelInfo, "leading", "token", l.version)
 }
 
@@ -84,6 +86,7 @@
 	c.removeBlocks()
 	c.adoptMachines()
 	c.shiftBlocks()
+	c.tickArchive()
 }
 
 // assignQueues leases queues without a live holder. A holder that is registered
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -111,8 +111,11 @@
 			if _, _, err := into.Apply(it); err != nil {
 				c.log(levelWarn, "bad record", "err", err)
 			}
+			if into.Archived {
+				break // what follows is read when somebody asks for it
+			}
 		}
-		if r.More {
+		if r.More && !into.Archived {
 			c.listPage(into, r.Items[len(r.Items)-1].Key, base)
 			return
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -53,7 +53,16 @@
 		case e != nil:
 			c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
 		default:
-			missing()
+			c.archived(id, func(e *storage.JobEntry, ok bool) {
+				switch {
+				case !ok:
+					c.unavailable(req, "the state service does not answer")
+				case e != nil:
+					c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
+				default:
+					missing()
+				}
+			})
 		}
 	})
 }
@@ -89,7 +98,7 @@
 	in.Job.Submitted = c.wall
 	key := c.keys.Job(id)
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
-		Conditions: []storage.Condition{{Key: key}},
+		Conditions: []storage.Condition{{Key: key}, {Key: c.keys.Archive(id)}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(in.Job)}},
 	}, storage.Prompt, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
@@ -133,7 +142,7 @@
 			case !ok || tries <= 0:
 				c.unavailable(in.Request, "the state service does not answer")
 			case c.replica.Jobs[in.ID] == nil:
-				c.answer(Answer{Request: in.Request, Kind: Missing})
+				c.viewOr(in.Request, in.ID, func() { c.answer(Answer{Request: in.Request, Kind: Missing}) })
 			default:
 				c.tryCancel(in, tries-1)
 			}
@@ -142,10 +151,17 @@
 	}
 	key := c.keys.Job(in.ID)
 	gone := e.Job.Final(bookkeeping.Cancelled)
+	var ranges []string // of finished tasks, which nobody needs any more
+	for _, chunk := range sortedKeys(e.FinVersion) {
+		if len(ranges)+1 < c.cfg.Settings.State.TxnOps {
+			ranges = append(ranges, c.keys.Fin(in.ID, chunk))
+		}
+	}
 	// done and cancelled exclude each other by the record's version.
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key, Version: e.Version}},
 		Puts:       []storage.Put{{Key: key, Value: storage.Encode(gone)}},
+		Deletes:    ranges,
 	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 		switch {
 		case r.Outcome == storage.OK:
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -151,7 +151,7 @@
 	}
 	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
 	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
-	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = 125.0\nmax_connections = %d\n", l.num("cloud_rps", 6), int(l.num("connections", 1000)))
+	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = %v\nmax_connections = %d\n", l.num("cloud_rps", 6), l.num("memory", 125), int(l.num("connections", 1000)))
 	operator := fmt.Sprintf("queues: %d", int(l.num("queues", 1)))
 	for i := range nodes {
 		var own strings.Builder
@@ -531,6 +531,12 @@
 		if float64(n) > l.num("most", 0) {
 			return strconv.Itoa(n)
 		}
+	case "kept": // jobs in the memory of any controller
+		for _, n := range w.nodes {
+			if n.up() && float64(n.core.Kept()) > l.num("most", 0) {
+				return fmt.Sprintf("%s keeps %d", n.name, n.core.Kept())
+			}
+		}
 	case "holders":
 		got := map[string]bool{}
 		for _, m := range w.cloud.sorted() {
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -251,6 +251,9 @@
 			u.hear(j, body)
 			return
 		}
+		if status == 404 && j.accepted != 0 {
+			u.w.breakRule("forgotten", "%s: accepted, then answered 404 when cancelled", j.ref)
+		}
 		u.w.after(micros.Second+u.w.rng.Int64N(micros.Second/2), func() { u.cancel(j) })
 	})
 }
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -83,6 +83,8 @@
 func (k Keys) Queue(n int) string         { return k.Prefix + "queue/" + strconv.Itoa(n) }
 func (k Keys) Block(name string) string   { return k.Prefix + "block/" + name }
 func (k Keys) Job(id string) string       { return k.Prefix + "job/" + id }
+func (k Keys) Archive(id string) string   { return k.ArchivePrefix() + id }
+func (k Keys) ArchivePrefix() string      { return k.Prefix + "~over/" } // sorts last: a list ends there
 func (k Keys) FinPrefix(id string) string { return k.Prefix + "fin/" + id + "/" }
 func (k Keys) Fin(id string, chunk int) string {
 	return k.FinPrefix(id) + strconv.Itoa(chunk)
@@ -107,6 +109,7 @@
 	Blocks   map[string]Versioned[BlockRecord] // by name
 	Machines map[string]Versioned[Machine]     // of all blocks
 	Jobs     map[string]*JobEntry
+	Archived bool                    // jobs that were over long ago were moved out of Jobs
 	orphans  map[string]map[int]Item // finished ranges listed before their job
 }
 
@@ -180,6 +183,8 @@
 		}
 	case "block":
 		c.Machines, changed, err = r.applyBlock(id, it)
+	case "~over":
+		r.Archived = true
 	case "job":
 		changed, err = r.applyJob(id, it)
 	case "fin":
@@ -241,6 +246,15 @@
 	return b
 }
 
+// DecodeJob reads a job's record on its own.
+func DecodeJob(it Item) (*JobEntry, error) {
+	v, err := decode[*bookkeeping.Job](it)
+	if err != nil || v.Value == nil {
+		return nil, fmt.Errorf("record %s: %w", it.Key, err)
+	}
+	return &JobEntry{Job: v.Value, Version: it.Version}, nil
+}
+
 func (r *Replica) applyJob(id string, it Item) (bool, error) {
 	e := r.Jobs[id]
 	if e != nil && e.Version >= it.Version {
