--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -124,6 +124,11 @@
 	} else if am.Spot != bm.Spot {
 		return am.Spot
 	}
+	if j.Kind == bookkeeping.Array {
+		if ae, be := a.prolongs(), b.prolongs(); ae != be {
+			return ae < be
+		}
+	}
 	af, bf := am.Line.steps[0].free.CPU, bm.Line.steps[0].free.CPU
 	if af != bf {
 		return af < bf
@@ -131,6 +136,13 @@
 	return am.Key < bm.Key
 }
 
+// prolongs is the machine time, by size, that the task adds: one that ends before what
+// is planned there already adds none, and a machine that is empty is kept for it whole.
+func (c *candidate) prolongs() micros.Time {
+	steps := c.slot.Machine.Line.steps
+	return max(0, c.slot.Start+c.slot.Length-steps[len(steps)-1].from) / tie * c.slot.Machine.Type.Capacity.CPU
+}
+
 // candidates is a heap of the machines' best gaps for one job, the best on top. It
 // holds places in a list: most of a plan's time goes into moving its entries.
 type candidates struct {
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -190,7 +190,7 @@
 func (c *cloud) add(t *machineType, zone string, spot, up bool) *machine {
 	c.next++
 	m := &machine{w: c.w, name: fmt.Sprintf("vm-%06d", c.next), kind: t, zone: zone, spot: spot, rented: c.w.now,
-		address: fmt.Sprintf("10.1.%d.%d:9000", c.next/250, c.next%250+1), speed: 0.95 + 0.1*c.w.rng.Float64(), tasks: map[string]*workerTask{}, images: map[string]bool{}}
+		address: fmt.Sprintf("10.1.%d.%d:9000", c.next/250, c.next%250+1), speed: 0.95 + 0.1*c.w.rng.Float64(), tasks: map[string]*workerTask{}, arriving: map[string]micros.Time{}}
 	if c.w.listen != nil {
 		m.address = c.w.listen(m)
 	}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -149,6 +149,9 @@
 			fmt.Fprintf(&toml, "[[settings.objectives]]\nkind = %q\nclass = %q\nwithin_s = %s.0\nshare = 0.99\n", kind, class, within)
 		}
 	}
+	if v := l.num("guarantee", 0); v > 0 {
+		fmt.Fprintf(&toml, "[[settings.objectives]]\nkind = \"guarantee\"\nwithin_s = %v\nshare = 0.99\n", v)
+	}
 	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
 	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
 	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = %v\nmax_connections = %d\n", l.num("cloud_rps", 6), l.num("memory", 125), int(l.num("connections", 1000)))
@@ -194,10 +197,11 @@
 	w.cloud.types = append(w.cloud.types, t)
 }
 
-// nodesFor finds nodes by name, or "holder", "others" or "all".
+// nodesFor finds nodes by name, or "holder", "others", "nodes", or "all", which in a
+// cut means machines too.
 func (w *World) nodesFor(what string) []*node {
 	switch what {
-	case "all":
+	case "all", "nodes":
 		return w.nodes
 	case "holder":
 		return []*node{w.holder()}
