--- a/internal/coordination/surplus.go
+++ b/internal/coordination/surplus.go
@@ -162,10 +162,6 @@
 	}
 	for _, m := range h.machines {
 		keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
-		if m.kind != nil {
-			// Kept for longer than it takes to boot another, it costs more than that.
-			keep = min(keep, m.kind.Boot)
-		}
 		if !m.block.Spot {
 			keep /= 3 // ordinary machines cost more; arrays mostly need not wait for them
 			if large != nil && m.kind != nil && m.kind.Capacity.CPU < large.kind.Capacity.CPU {
