--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -449,9 +449,7 @@
 		h.reclaim(r, late+count-placed, by, false)
 		h.reclaim(r, min(waiting-allowed, *left), by, true)
 	}
-	// Tasks that start later than an objective wants show that there is too little room
-	// for what comes like them; a machine rented now is too late for these alone.
-	short := min(waiting, allowed) - placed + max(tardy, late)
+	short := min(waiting, allowed) - placed + tardy
 	if short <= 0 {
 		return nil
 	}
