--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -136,13 +136,6 @@
 		limit := micros.FromSeconds(o.WithinS)
 		switch o.Kind {
 		case "wait":
-		case "deadline":
-			if q := h.queued(j); j.Deadline > 0 {
-				if slack := q.Due - q.P - h.c.now; slack > 0 && slack < j.Deadline/10 {
-					return true
-				}
-			}
-			continue
 		case "finished":
 			limit -= micros.Time(float64(h.estimate(j)) * h.c.stats.Spread(j.Class))
 		default:
