--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -42,8 +42,6 @@
 	InZone map[string]int // tasks of the job by zone
 	// Pack is how many replicas a machine takes before others are preferred.
 	Pack int
-	// Missed is how long it takes to find out that a machine is lost.
-	Missed micros.Time
 	// Allowed tells further conditions on a machine; nil: none.
 	Allowed func(*Machine) bool
 }
@@ -80,21 +78,20 @@
 	}
 	c := candidate{slot: Slot{Machine: m, Start: start, Length: length}, ready: start + fetch, ok: true}
 	if length < Forever {
-		c.slot.Tardiness = expectedTardiness(r.Weight, start+length, r.Due, length, r.Missed, m.LossRate)
+		c.slot.Tardiness = expectedTardiness(r.Weight, start+length, r.Due, length, m.LossRate)
 	}
 	return c
 }
 
 // expectedTardiness weighs in that a machine may be taken while the task runs: on
-// average half way, and then, once that was found out, it starts anew.
-func expectedTardiness(w float64, finish, due, length, missed micros.Time, lossRate float64) float64 {
+// average half way, and then it starts anew.
+func expectedTardiness(w float64, finish, due, length micros.Time, lossRate float64) float64 {
 	t := Tardiness(w, finish, due)
-	again := finish + length/2 + missed
-	if lossRate <= 0 || again <= due {
+	if lossRate <= 0 || finish+length/2 <= due {
 		return t
 	}
 	lost := -math.Expm1(-lossRate * micros.Seconds(length))
-	return t + lost*(Tardiness(w, again, due)-t)
+	return t + lost*(Tardiness(w, finish+length/2, due)-t)
 }
 
 // tie is the grain of time within which two gaps count as equally early: a grid,
--- a/internal/coordination/plan/plan_test.go
+++ b/internal/coordination/plan/plan_test.go
@@ -57,7 +57,7 @@
 	near(t, "late", Tardiness(4, 70*s, 60*s), 40)
 	near(t, "early", Tardiness(4, 50*s, 60*s), 0)
 	// Taken with probability 1-exp(-0.01*20): then 10 s later, 20 s after the due date.
-	near(t, "expected", expectedTardiness(1, 70*s, 60*s, 20*s, 5*s, 0.01), 10+(1-math.Exp(-0.2))*15)
+	near(t, "expected", expectedTardiness(1, 70*s, 60*s, 20*s, 0.01), 10+(1-math.Exp(-0.2))*10)
 }
 
 func need(cpu int64) bookkeeping.Resources { return bookkeeping.Resources{CPU: cpu * 1000, Mem: 1000} }
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -326,7 +326,7 @@
 // request is the planner's request for one job.
 func (h *holder) request(r ranked, count int) *plan.Request {
 	j := r.j
-	q := &plan.Request{Job: j.Job, Weight: r.q.Weight, P: r.q.P, Due: r.q.Due, Count: count, Now: h.c.now, InZone: map[string]int{}, Pack: h.pack(), Missed: h.silence()}
+	q := &plan.Request{Job: j.Job, Weight: r.q.Weight, P: r.q.P, Due: r.q.Due, Count: count, Now: h.c.now, InZone: map[string]int{}, Pack: h.pack()}
 	for _, a := range j.live {
 		q.InZone[a.m.block.Zone]++
 		if j.OneZone {
