--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -224,8 +224,8 @@
 	positive("settings.cloud.rps", s.Cloud.RPS)
 	atLeast0("settings.cloud.list_lag_s", s.Cloud.ListLagS)
 	positive("settings.machine_limits.memory_mb", s.MachineLimits.MemoryMB)
-	if s.MachineLimits.MaxConnections < 16 {
-		bad("settings.machine_limits.max_connections", "must be at least 16, is %d", s.MachineLimits.MaxConnections)
+	if need := c.ownSockets() + minServe; s.MachineLimits.MaxConnections < max(16, need) {
+		bad("settings.machine_limits.max_connections", "must be at least %d for the controllers themselves, is %d", max(16, need), s.MachineLimits.MaxConnections)
 	}
 	if s.Workers.LeaseS > 0 && s.Workers.CancelS > 0 && c.Term() <= 0 {
 		bad("settings.workers.cancel_s", "leaves no term beyond lease_s: %v", s.Workers.CancelS)
@@ -257,6 +257,14 @@
 	if s.Workers.LeaseS < 3*s.Workers.ReportS {
 		warn("settings.workers.lease_s", "%v is less than three report times of %v: two lost answers end a machine's tasks", s.Workers.LeaseS, s.Workers.ReportS)
 	}
+	for i, t := range s.Teams {
+		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
+			warn(fmt.Sprintf("settings.teams[%d].cpus", i), "%v are guaranteed, but cpus_max allows %v", t.CPUs, t.CPUsMax)
+		}
+		if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+			warn(fmt.Sprintf("settings.teams[%d].gpus", i), "%v are guaranteed, but gpus_max allows %v", t.GPUs, t.GPUsMax)
+		}
+	}
 	if fair := s.State.WriteRPS / float64(max(1, s.Nodes)); fair < 4 {
 		warn("settings.state.write_rps", "%v leaves each controller less than 4 changes a second", s.State.WriteRPS)
 	}
@@ -270,6 +278,14 @@
 	Serve   int // workers and users
 }
 
+// minServe is how many sockets must be left for workers and users.
+const minServe = 4
+
+// ownSockets is how many the controllers need among themselves, and for the least of
+// calls: two listeners, one out and a few in for each sibling, calls to workers, state
+// service and cloud.
+func (c *Config) ownSockets() int { return 1 + 5*len(c.Siblings) + 2 + 4 }
+
 // Sockets shares max_connections out: what this process opens itself is bounded
 // and small, so that every worker of a fleet finds room for its reports, also
 // when all of them come to one controller.
@@ -277,7 +293,7 @@
 	most := c.Settings.MachineLimits.MaxConnections
 	s := Sockets{Calls: max(2, most/8), Service: min(64, max(4, most/16))}
 	siblings := 1 + 5*len(c.Siblings) // two listeners, one out and a few in for each
-	s.Serve = max(4, most-s.Calls-s.Service-siblings-most/64)
+	s.Serve = max(minServe, most-s.Calls-s.Service-siblings-most/64)
 	return s
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -70,6 +70,9 @@
 		{`nodes = 2`, `nodes = "two"`, "settings.nodes:"},
 		{`name = "alpha"`, ``, "settings.teams[0].name:"},
 		{`cpus_max = 48.0`, `cpus_max = -1.0`, "settings.teams[0].cpus_max:"},
+		{`cpus_max = 48.0`, "cpus_max = 48.0\n[[settings.teams]]\nname = \"alpha\"", "settings.teams[1].name:"},
+		{`cpus = 16.0`, `cpus = -1.0`, "settings.teams[0].cpus:"},
+		{`max_connections = 1000`, `max_connections = 15`, "settings.machine_limits.max_connections:"},
 		{`lease_s = 10.0`, `lease_s = 0.0`, "settings.workers.lease_s:"},
 		{`cancel_s = 35.0`, `cancel_s = 8.0`, "settings.workers.cancel_s:"},
 		{`txn_ops = 12`, `txn_ops = 1`, "settings.state.txn_ops:"},
@@ -94,6 +97,7 @@
 	for _, c := range []struct{ from, to, field string }{
 		{"", "", ""},
 		{`max_connections = 1000`, `max_connections = 100`, "settings.machine_limits.max_connections:"},
+		{`cpus = 16.0`, `cpus = 49.0`, "settings.teams[0].cpus:"},
 		{`memory_mb = 125.0`, `memory_mb = 40.0`, "settings.machine_limits.memory_mb:"},
 		{`lease_s = 10.0`, `lease_s = 4.0`, "settings.workers.lease_s:"},
 		{`write_rps = 25.0`, `write_rps = 6.0`, "settings.state.write_rps:"},
