--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -98,10 +98,6 @@
 // so that the order of gaps is a strict one.
 const tie = 250 * micros.Millisecond
 
-// dear is how much earlier a task of an array must be ready on an ordinary machine,
-// which costs twice as much, to be placed there for it.
-const dear = 2 * micros.Second
-
 // better tells whether a is the better gap for the job: the least total weighted
 // tardiness decides; among equals (mostly: no tardiness at all) the task that is
 // ready first, then, for a service, a machine that has replicas already, up to a
@@ -114,20 +110,10 @@
 	if a.slot.Tardiness != b.slot.Tardiness {
 		return a.slot.Tardiness < b.slot.Tardiness
 	}
-	am, bm := a.slot.Machine, b.slot.Machine
-	if ar, br := a.ready, b.ready; j.Kind == bookkeeping.Array {
-		if !am.Spot {
-			ar += dear
-		}
-		if !bm.Spot {
-			br += dear
-		}
-		if ar/tie != br/tie {
-			return ar < br
-		}
-	} else if ar/tie != br/tie {
+	if ar, br := a.ready/tie, b.ready/tie; ar != br {
 		return ar < br
 	}
+	am, bm := a.slot.Machine, b.slot.Machine
 	if j.Kind == bookkeeping.Service {
 		if am.Services != bm.Services {
 			if am.Services < pack && bm.Services < pack {
