--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -517,6 +517,10 @@
 		if w.unknown == 0 || w.unknown > l.secs("within", 5) {
 			return fmt.Sprintf("after %v s", micros.Seconds(w.unknown))
 		}
+	case "rented": // machines, ever
+		if n := float64(len(w.cloud.machines)); n > l.num("most", 1e9) {
+			return fmt.Sprintf("%v machines", n)
+		}
 	case "gone": // a machine
 		if m := w.cloud.machines[ref]; m == nil || !m.deleted {
 			return "it is there"
