--- /dev/null
+++ b/internal/scenario/meetings.go
@@ -0,0 +1,207 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/protocol"
+)
+
+// connectTo gives a job's user a connection to a node.
+func (u *users) connectTo(j *userJob, n *node) {
+	for _, b := range u.balance {
+		if b.n == n {
+			j.conn, j.connLife = b, n.life
+		}
+	}
+}
+
+// cancelNow calls off jobs that run, within a fifth of a second; with hang, a machine
+// of each hangs from then on.
+func (u *users) cancelNow(n int, hang micros.Time) {
+	for _, ref := range u.order {
+		j := u.jobs[ref]
+		if n == 0 || j.accepted == 0 || j.wantCancel || j.toldDone {
+			continue
+		}
+		on := u.w.cloud.pick(ref)
+		if len(on) == 0 {
+			continue
+		}
+		n--
+		u.w.after(u.w.rng.Int64N(200*micros.Millisecond), func() { u.cancel(j) })
+		if hang > 0 {
+			on[0].hang(hang)
+		}
+	}
+}
+
+// askNode asks one node, whatever the balancer thinks.
+func (u *users) askNode(n *node, make func(coordination.RequestID) coordination.Input, then func(coordination.Answer)) {
+	u.w.send("users", n.name, func() {
+		n.ask(make, func(a coordination.Answer) { u.w.send(n.name, "users", func() { then(a) }) })
+	})
+}
+
+// lookClosely asks at all nodes within milliseconds, and repeats the submission there,
+// right after a job was accepted, ended or confirmed as cancelled: none may answer
+// anything older.
+func (u *users) lookClosely(j *userJob) {
+	if u.w.now >= u.looksUntil {
+		return
+	}
+	done, cancelled := j.toldDone, j.cancelled != 0
+	check := func(n *node, what string, a coordination.Answer) {
+		switch a.Kind {
+		case coordination.Accepted, coordination.View:
+			u.hear(j, protocol.EncodeJob(a.Job))
+			if (done && a.Job.Phase != bookkeeping.Done) || (cancelled && a.Job.Phase != bookkeeping.Cancelled) {
+				u.w.breakRule("went_back", "%s: %s at %s is answered with something older", j.ref, what, n.name)
+			}
+		case coordination.Missing, coordination.Malformed, coordination.Impossible:
+			u.w.breakRule("forgotten", "%s: %s at %s answers %v", j.ref, what, n.name, a.Kind)
+		}
+	}
+	for _, n := range u.w.nodes {
+		for range 3 {
+			u.w.after(u.w.rng.Int64N(8*micros.Millisecond), func() {
+				u.askNode(n, func(id coordination.RequestID) coordination.Input {
+					return &coordination.Lookup{Request: id, ID: j.ref}
+				}, func(a coordination.Answer) { check(n, "a question", a) })
+			})
+		}
+		u.w.after(u.w.rng.Int64N(8*micros.Millisecond), func() {
+			u.askNode(n, func(id coordination.RequestID) coordination.Input {
+				ref, job, err := protocol.ParseSubmission(j.body)
+				if err != nil {
+					u.w.breakRule("bench", "%v", err)
+				}
+				return &coordination.Submit{Request: id, ID: ref, Job: job}
+			}, func(a coordination.Answer) { check(n, "a repeated submission", a) })
+		})
+	}
+}
+
+// odd sends, every half second, repeats of unfinished jobs, cancellations of done ones
+// and jobs that fit no machine or lack a field.
+func (u *users) odd(until micros.Time) {
+	if u.w.now >= until {
+		return
+	}
+	for _, ref := range u.order {
+		j := u.jobs[ref]
+		switch {
+		case j.accepted == 0 || u.w.rng.IntN(4) > 0:
+		case j.toldDone:
+			j.wantCancel = true
+			u.cancel(j)
+		case j.cancelled == 0:
+			u.submit(j)
+		}
+	}
+	u.oddJobs++
+	large := u.parse(fmt.Sprintf("wk-8%05d", u.oddJobs), map[string]string{"cores": "100000"})
+	lacking := u.parse(fmt.Sprintf("wk-7%05d", u.oddJobs), nil)
+	lacking.body = []byte(strings.Replace(string(lacking.body), `"owner"`, `"ownr"`, 1))
+	for _, j := range []*userJob{large, lacking} {
+		u.submit(j)
+		u.w.after(4*micros.Second, func() {
+			if j.accepted != 0 {
+				u.w.breakRule("accepted", "%s: cannot run or lacks a field, but was accepted", j.ref)
+			}
+		})
+	}
+	u.w.after(micros.Second/2, func() { u.odd(until) })
+}
+
+// idleRoomAfter is how long after all troubles a job may wait while there is room.
+const idleRoomAfter = 90 * micros.Second
+
+// watchRoom checks, once a second, that no job is left waiting while a machine that
+// fits has room and its team is under its limit.
+func (u *users) watchRoom() {
+	if u.w.cloud == nil {
+		return
+	}
+	use := map[string]float64{}
+	for _, m := range u.w.cloud.sorted() {
+		if !m.gone {
+			for _, t := range m.tasks {
+				if t.phase != "exited" {
+					use[t.job.owner] += t.job.cores
+				}
+			}
+		}
+	}
+	for _, ref := range u.order {
+		j := u.jobs[ref]
+		if j.accepted == 0 || j.toldDone || j.cancelled != 0 || j.wantCancel || j.mistaken || !u.waits(j) || !u.hasRoom(j, use[j.owner]) {
+			j.stuckSince = 0
+			continue
+		}
+		if j.stuckSince == 0 {
+			j.stuckSince = u.w.now
+		}
+		if u.w.now-max(j.stuckSince, u.w.calm) > idleRoomAfter {
+			j.stuckSince = u.w.now
+			u.w.breakRule("idle_room", "%s waits though a machine has room", ref)
+		}
+	}
+}
+
+// waits tells whether a job has a task that is neither done nor on a machine.
+func (u *users) waits(j *userJob) bool {
+	on := len(j.done)
+	for _, m := range u.w.cloud.machines {
+		if m.gone {
+			continue
+		}
+		for _, t := range m.tasks {
+			if t.job == j && t.phase != "exited" {
+				on++
+			}
+		}
+	}
+	return on < j.shards
+}
+
+// hasRoom tells whether some machine could take a task of the job now.
+func (u *users) hasRoom(j *userJob, use float64) bool {
+	for _, t := range u.w.conf.Settings.Teams {
+		if t.Name == j.owner && t.CPUsMax > 0 && use+j.cores > t.CPUsMax {
+			return false
+		}
+	}
+	inZone, other := map[string]int{}, false
+	for _, m := range u.w.cloud.machines {
+		for _, t := range m.tasks {
+			if t.job == j && t.phase != "exited" && !m.gone {
+				inZone[m.zone]++
+			}
+		}
+	}
+	for _, m := range u.w.cloud.sorted() {
+		if m.gone || !m.booted || m.hung || m.sick || m.off || m.recall > 0 || (m.spot && !j.loaners) || (j.berth != "" && j.berth != m.zone) ||
+			(j.hulls != nil && !contains(j.hulls, m.kind.name)) || u.w.now-m.rented < idleRoomAfter {
+			continue
+		}
+		other = len(inZone) > 0 && inZone[m.zone] == 0
+		if (j.oneZone && other) || (j.apart && inZone[m.zone] >= (j.shards+1)/2) {
+			continue
+		}
+		cores, ram := m.kind.cores-j.cores, m.kind.ram-j.ram
+		for _, t := range m.tasks {
+			if t.phase != "exited" {
+				cores -= t.job.cores
+				ram -= t.job.ram
+			}
+		}
+		if cores >= 0 && ram >= 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -47,6 +47,8 @@
 	firstStart  micros.Time
 	doneAt      micros.Time // when its user was first told
 	lost        bool        // reported as forgotten
+	stuckSince  micros.Time // it waits though there is room; 0: it does not
+	offAfter    micros.Time // how long after its user was told a task was on a machine
 	replicaTime micros.Time
 }
 
@@ -58,6 +60,11 @@
 	strange  int // polls for jobs that nobody submitted
 	balance  []*balancer
 	started_ int
+
+	cancelShare float64 // of jobs that end, cancelled at that moment
+	cancelUntil micros.Time
+	looksUntil  micros.Time // users look closely until then
+	oddJobs     int
 }
 
 func newUsers(w *World) *users {
@@ -204,6 +211,7 @@
 			}
 			u.hear(j, body)
 			if !again {
+				u.lookClosely(j)
 				u.w.after(u.w.rng.Int64N(5*micros.Second), func() { u.poll(j) })
 			}
 		case 400, 422:
@@ -288,6 +296,7 @@
 	case "done":
 		if j.doneAt == 0 {
 			j.doneAt = u.w.now
+			u.lookClosely(j)
 		}
 		j.toldDone = true
 		if len(j.done) < j.shards {
@@ -296,6 +305,7 @@
 	case "cancelled":
 		if j.cancelled == 0 {
 			j.cancelled = u.w.now
+			u.lookClosely(j)
 		}
 		if !j.wantCancel {
 			u.w.breakRule("went_back", "%s: cancelled, but not by its user", j.ref)
@@ -386,6 +396,9 @@
 				if !t.on() {
 					continue
 				}
+				if t.job.cancelled != 0 {
+					t.job.offAfter = u.w.now - t.job.cancelled
+				}
 				if t.job.cancelled != 0 && u.w.now-t.job.cancelled > cancelS {
 					u.w.breakRule("ran_cancelled", "%s is on %s", t.id, m.name)
 				}
@@ -400,6 +413,9 @@
 			u.w.breakRule("forgotten", "%s: no question about it was answered since %.3f", ref, micros.Seconds(j.asked))
 		}
 	}
+	if u.w.now%micros.Second < every {
+		u.watchRoom()
+	}
 	u.w.after(every, u.watch)
 }
 
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -63,6 +63,7 @@
 	calm    micros.Time // when the last trouble so far is over
 	unknown micros.Time // the longest that a holder did not know all its machines
 	taken   int         // how often a queue got a holder
+	kept    [][]byte    // reports whose copies come to the next holder
 
 	distance micros.Time // between zones, one way
 	zoned    bool        // controllers are in zones too
@@ -218,6 +219,13 @@
 		}
 		if l.Text == "queue taken" {
 			w.taken++
+			kept := w.kept
+			w.kept = nil
+			for _, raw := range kept {
+				for _, o := range w.nodes {
+					w.after(w.rng.Int64N(300*micros.Millisecond), func() { o.copyOf(raw) })
+				}
+			}
 		}
 		if l.Text == "all machines known" && len(l.Args) == 4 {
 			if ms, ok := l.Args[3].(micros.Time); ok {
