Cancellations: siblings tell the holder, and a kill not shown in time ends its machine

One place, cancelling.go, owns what is reasoned about cancellations. A controller that committed a cancellation, or sees one in the stream, tells it to the siblings whose stream has not come that far, with every message until they say that they heard it; the holder then starts nothing of the job and stops what runs. Words only stop work. A stop not shown within a term of the earliest moment at which the cancellation can have been confirmed makes its machine go: deleted, and no longer answered, so that its lease ends in time.

--- /dev/null
+++ b/internal/coordination/cancelling.go
@@ -0,0 +1,229 @@
+package coordination
+
+import (
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// All that reasons about cancellations beyond the conditional write itself is here.
+//
+// A cancellation binds from its commit: from then on any node may tell it to a user,
+// and cancel_s runs. Three things end the tasks in time, each without the others: the
+// holder's stream shows it; a sibling that knows of it tells the holder (a word, which
+// only stops work); and the holder's term, after which it answers no worker, so that
+// leases run out. What was told to stop and is not shown gone in time makes its
+// machine go.
+
+const (
+	// maxWords bounds the cancellations that are kept to be told, and heard.
+	maxWords = 8192
+	// wordsAtOnce bounds those in one message.
+	wordsAtOnce = 500
+)
+
+// word is a cancellation that is a fact: committed here, or shown by the stream.
+type word struct {
+	job      string
+	number   uint64 // counts this process' words
+	revision uint64 // at which it was committed
+	at       micros.Time
+}
+
+// cancellations is what this controller tells of, and heard from its siblings.
+type cancellations struct {
+	words []word // oldest first
+	last  uint64 // number of the newest
+	known map[string]bool
+	heard map[string]CancelsHeard // by member: how far its words came
+	told  map[string]micros.Time  // jobs that a sibling knows to be cancelled: since when
+	swept micros.Time
+}
+
+func newCancellations() cancellations {
+	return cancellations{known: map[string]bool{}, heard: map[string]CancelsHeard{}, told: map[string]micros.Time{}}
+}
+
+// wordsFor is how long a cancellation may matter to somebody who has not heard of it:
+// within cancel_s, what he holds has ended by itself.
+func (c *Core) wordsFor() micros.Time { return 2 * micros.FromSeconds(c.cfg.Settings.Workers.CancelS) }
+
+// confirmed notes a cancellation that is committed: by this controller, which is about
+// to tell its user, or by another, as the stream shows. Whoever knows of it tells it on,
+// since the one that committed it may end right after its answer.
+func (c *Core) confirmed(id string, revision uint64, own bool) {
+	s := &c.cancelled
+	if s.known[id] {
+		return
+	}
+	s.known[id] = true
+	s.last++
+	s.words = append(s.words, word{id, s.last, revision, c.now})
+	if len(s.words) > maxWords {
+		delete(s.known, s.words[0].job)
+		s.words = s.words[1:]
+	}
+	if own {
+		c.statusUp = true // the holder is to hear of it at once
+		c.callOff(id)
+	}
+}
+
+// wordsTo are the cancellations that a sibling may not know of: its stream had not come
+// that far when it last spoke, nor has it said that it heard of them.
+func (c *Core) wordsTo(member string) (jobs []string, upTo uint64) {
+	var heard, revision uint64
+	if p := c.peers[member]; p != nil {
+		revision = p.status.Revision
+		for _, h := range p.status.CancelsHeard {
+			if h.From == c.proc {
+				heard = h.UpTo
+			}
+		}
+	}
+	for _, w := range c.cancelled.words {
+		if w.number <= heard || w.revision <= revision {
+			continue
+		}
+		if len(jobs) == wordsAtOnce {
+			break
+		}
+		jobs, upTo = append(jobs, w.job), w.number
+	}
+	return jobs, upTo
+}
+
+// heardOf takes a sibling's words. They are believed for stopping only: nobody is told
+// that a job is cancelled, and no term gets longer, before the stream shows it. So a
+// late or repeated word does no harm.
+func (c *Core) heardOf(s *Status) {
+	if len(s.Cancelled) == 0 || s.From == c.proc {
+		return
+	}
+	mine := &c.cancelled
+	if h := mine.heard[s.From.Member]; h.From != s.From || h.UpTo < s.CancelledUpTo {
+		mine.heard[s.From.Member] = CancelsHeard{s.From, s.CancelledUpTo}
+		c.statusUp = true
+	}
+	for _, id := range s.Cancelled {
+		if _, ok := mine.told[id]; ok || len(mine.told) >= maxWords {
+			continue
+		}
+		mine.told[id] = c.now
+		c.callOff(id)
+	}
+}
+
+// cancelsHeard is what siblings are told of how far their words came.
+func (c *Core) cancelsHeard() []CancelsHeard {
+	var out []CancelsHeard
+	for _, m := range sortedKeys(c.cancelled.heard) {
+		out = append(out, c.cancelled.heard[m])
+	}
+	return out
+}
+
+// tickCancelled forgets what matters to nobody any more.
+func (c *Core) tickCancelled() {
+	s := &c.cancelled
+	if c.now-s.swept < micros.Second {
+		return
+	}
+	s.swept = c.now
+	for len(s.words) > 0 && c.now-s.words[0].at > c.wordsFor() {
+		delete(s.known, s.words[0].job)
+		s.words = s.words[1:]
+	}
+	for id, at := range s.told {
+		if c.now-at > c.wordsFor() {
+			delete(s.told, id)
+		}
+	}
+}
+
+// callOff stops all work of a job that is known to be cancelled, before the stream
+// shows it.
+func (c *Core) callOff(id string) {
+	for _, n := range sortedKeys(c.holders) {
+		if j := c.holders[n].jobs[id]; j != nil {
+			c.holders[n].callOff(j)
+		}
+	}
+}
+
+func (h *holder) callOff(j *job) {
+	if j.calledOff {
+		return
+	}
+	j.calledOff = true
+	h.c.log(levelInfo, "job called off", "job", j.ID, "tasks", len(j.live))
+	for _, t := range sortedKeys(j.live) {
+		h.kill(j.live[t])
+	}
+	for _, a := range j.double {
+		h.kill(a)
+	}
+	h.dirty = true
+}
+
+// isCancelled tells whether a job is cancelled as far as the stream shows.
+func (c *Core) isCancelled(id string) bool {
+	e := c.replica.Jobs[id]
+	return e != nil && e.Job.Phase == bookkeeping.Cancelled
+}
+
+// kill stops a task of a cancelled job. The cancellation came after the news before
+// this: it would have been in them. From there its clock is taken to run.
+func (h *holder) kill(a *attempt) {
+	if a.state == Exited {
+		return
+	}
+	h.stop(a, 0)
+	if a.state == Exited || a.killBy != 0 {
+		return // its start was not sent yet; or it is counted already
+	}
+	// A worker that has its last answer by then loses the task to its lease within
+	// cancel_s, and as much time is left for the cloud to delete the machine.
+	// One whose time is over already still gets the moment that a stop takes.
+	a.killBy = max(h.c.newsBefore+h.c.cfg.Term(), h.c.now+killMoment)
+	h.kills = append(h.kills, a)
+}
+
+// killMoment is how long a stop takes at most where nothing is wrong.
+const killMoment = 1500 * micros.Millisecond
+
+// killAdopted is kill for a task that a predecessor left: when its job was cancelled is
+// not known, but its machine just spoke under this token, so that a stop takes a moment.
+func (h *holder) killAdopted(a *attempt) {
+	h.kill(a)
+	if a.killBy != 0 {
+		a.killBy = min(a.killBy, h.c.now+2*h.silence())
+	}
+}
+
+// overdueKills gives up the machines on which a cancelled task is not shown gone in
+// time: hung, or out of reach. They are deleted, and get no answers, so that their lease
+// ends too. A kill is done when its task is gone, not when it was sent.
+func (h *holder) overdueKills() {
+	h.kills = slices.DeleteFunc(h.kills, func(a *attempt) bool {
+		if a.state == Exited || h.machine(a.m.id) != a.m {
+			return true
+		}
+		if h.c.now < a.killBy || a.m.lost() {
+			return false
+		}
+		h.drain(a.m, killNotShown)
+		return false
+	})
+}
+
+// killNotShown is why such a machine drains.
+const killNotShown = "kill not shown"
+
+// CancelsHeard is how far the words of a process came.
+type CancelsHeard struct {
+	From storage.Process
+	UpTo uint64
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -50,19 +50,20 @@
 	workerMost int // how many may be, for lack of sockets
 	session
 	barrier
-	holders  map[int]*holder
-	ends     map[storage.Process]micros.Time // when a process was first known dead
-	peers    map[string]*peerView
-	progress map[string]JobProgress
-	leader   leaderState
-	stats    *bookkeeping.RunTimes
-	faults   *fleet.Faults
-	spot     spotLosses
-	reach    reach
-	planned  *holder // that planned in the last step
-	statusAt micros.Time
-	statusUp bool        // send the status soon
-	okAt     micros.Time // when the state service last answered in time
+	holders   map[int]*holder
+	ends      map[storage.Process]micros.Time // when a process was first known dead
+	peers     map[string]*peerView
+	cancelled cancellations
+	progress  map[string]JobProgress
+	leader    leaderState
+	stats     *bookkeeping.RunTimes
+	faults    *fleet.Faults
+	spot      spotLosses
+	reach     reach
+	planned   *holder // that planned in the last step
+	statusAt  micros.Time
+	statusUp  bool        // send the status soon
+	okAt      micros.Time // when the state service last answered in time
 }
 
 // spotLosses counts how often spot machines are taken.
@@ -91,7 +92,7 @@
 		workerMost: max(1, cfg.Sockets().Calls/2), // the other half are idle connections
 		budget:     storage.NewBudget(cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.Nodes),
 		holders:    map[int]*holder{}, ends: map[storage.Process]micros.Time{},
-		peers: map[string]*peerView{}, progress: map[string]JobProgress{},
+		peers: map[string]*peerView{}, cancelled: newCancellations(), progress: map[string]JobProgress{},
 		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
 	}
 	c.session.replica = storage.NewReplica(keys)
@@ -225,6 +226,7 @@
 		c.holders[n].tick()
 	}
 	c.tickReach()
+	c.tickCancelled()
 	c.tickStatus()
 }
 
@@ -365,9 +367,11 @@
 		s.Progress = append(s.Progress, h.progress()...)
 	}
 	s.Gone = c.leader.recentlyGone(c.now)
+	s.CancelsHeard = c.cancelsHeard()
 	for _, p := range c.cfg.Siblings {
 		mine := *s
 		mine.Shifts = c.leader.shifts[p.Member]
+		mine.Cancelled, mine.CancelledUpTo = c.wordsTo(p.Member)
 		c.out.Peers = append(c.out.Peers, PeerSend{p.Member, &mine})
 	}
 	for _, sh := range c.leader.shifts[c.proc.Member] {
@@ -382,6 +386,7 @@
 // which nothing makes untrue.
 func (c *Core) heard(s *Status) {
 	c.peers[s.From.Member] = &peerView{c.now, s}
+	c.heardOf(s)
 	for _, m := range s.Gone {
 		for _, h := range c.holders {
 			h.machineGone(m)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -48,27 +48,29 @@
 	toProbe    []*machine             // of this tick
 	turn       int                    // counts rounds of sending
 	marking    map[string]micros.Time // blocks whose record of use is being written, or was: not again before
+	kills      []*attempt             // of cancelled jobs, not shown gone
 }
 
 // job is an active job of the queue.
 type job struct {
 	*bookkeeping.Job
-	version uint64
-	entry   *storage.JobEntry
-	waiting *bookkeeping.TaskSet
-	pending *bookkeeping.TaskSet // finished, not known to be stored
-	live    map[int]*attempt
-	chunks  map[int]bool // with pending tasks
-	storing bool
-	storeAt micros.Time
-	pause   micros.Time // no starts before
-	ran     micros.Time // run times of its completed tasks, added up
-	ranN    int
-	est     micros.Time // estimate of a task as of estAt
-	estAt   micros.Time
-	sure    bool                 // it was within its team's guarantee when it was planned
-	spared  *bookkeeping.TaskSet // stopped once for another job, and not again
-	double  []*attempt           // second attempts at a live task, being stopped
+	version   uint64
+	entry     *storage.JobEntry
+	waiting   *bookkeeping.TaskSet
+	pending   *bookkeeping.TaskSet // finished, not known to be stored
+	live      map[int]*attempt
+	chunks    map[int]bool // with pending tasks
+	storing   bool
+	storeAt   micros.Time
+	pause     micros.Time // no starts before
+	ran       micros.Time // run times of its completed tasks, added up
+	ranN      int
+	est       micros.Time // estimate of a task as of estAt
+	estAt     micros.Time
+	sure      bool                 // it was within its team's guarantee when it was planned
+	spared    *bookkeeping.TaskSet // stopped once for another job, and not again
+	double    []*attempt           // second attempts at a live task, being stopped
+	calledOff bool                 // a sibling knows it to be cancelled: it starts nothing any more
 }
 
 func (j *job) finished(task int) bool {
@@ -108,6 +110,7 @@
 	grace   micros.Time
 	stopped micros.Time // when the stop was first ordered
 	own     bool        // started by this holder
+	killBy  micros.Time // of a cancelled job: when it must be shown gone; 0: it is not
 }
 
 func newHolder(c *Core, n int, v storage.Versioned[storage.QueueRecord]) *holder {
@@ -248,6 +251,8 @@
 	h.jobs[id] = j
 	i, _ := slices.BinarySearchFunc(h.order, id, func(o *job, id string) int { return cmp.Compare(o.ID, id) })
 	h.order = slices.Insert(h.order, i, j)
+	_, j.calledOff = h.c.cancelled.told[id]
+	j.calledOff = j.calledOff || h.c.cancelled.known[id]
 	h.dirty = true
 	h.c.log(levelDebug, "job", "job", id, "class", j.Class, "tasks", j.Tasks, "cpu", j.Need.CPU, "estimate_ms", j.Estimate/micros.Millisecond,
 		"due_ms", j.Deadline/micros.Millisecond)
@@ -255,6 +260,7 @@
 
 // jobOver ends what is left of a job that is done or cancelled.
 func (h *holder) jobOver(j *job) {
+	cancelled := h.c.isCancelled(j.ID)
 	delete(h.jobs, j.ID)
 	h.order = slices.DeleteFunc(h.order, func(o *job) bool { return o == j })
 	for _, m := range h.machines {
@@ -264,7 +270,11 @@
 				continue
 			}
 			a.j, a.stored = nil, true
-			if a.state != Exited {
+			switch {
+			case a.state == Exited:
+			case cancelled:
+				h.kill(a)
+			default:
 				h.stop(a, 0)
 			}
 		}
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -282,6 +282,10 @@
 	Progress []JobProgress
 	Used     storage.Usage // of the state service's limits
 	Reach    []ZoneReach   // of machines that their holder does not hear
+
+	Cancelled     []string // jobs that the receiver may not know to be cancelled
+	CancelledUpTo uint64   // number of the last of them
+	CancelsHeard  []CancelsHeard
 }
 
 // ZoneReach is how many machines of a queue in a zone answered a controller, of
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -157,6 +157,7 @@
 	for _, m := range slices.Clone(h.machines) {
 		h.tickMachine(m)
 	}
+	h.overdueKills()
 	h.probeSome()
 	h.markUsed()
 	for _, j := range h.order {
@@ -554,4 +555,6 @@
 
 // lost tells whether the machine is given up for good: only its deletion, or the
 // end of its lease, is waited for.
-func (m *machine) lost() bool { return m.draining == "restarted" || m.draining == "unreachable" }
+func (m *machine) lost() bool {
+	return m.draining == "restarted" || m.draining == "unreachable" || m.draining == killNotShown
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -271,7 +271,11 @@
 	h.enter(a)
 	if a.j == nil {
 		a.stored = true
-		if t.State != Exited {
+		switch {
+		case t.State == Exited:
+		case h.c.isCancelled(t.Job):
+			h.killAdopted(a)
+		default:
 			h.stop(a, 0)
 		}
 		return a
@@ -295,7 +299,10 @@
 		a.running = h.c.now
 		m.useImage(a.j.Image, a.j.ImageGB)
 	}
-	if a.j.finished(t.Task) {
+	switch {
+	case a.j.calledOff:
+		h.killAdopted(a)
+	case a.j.finished(t.Task):
 		h.stop(a, 0)
 	}
 	h.dirty = true
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -57,7 +57,7 @@
 	var queue []*plan.Queued
 	for _, j := range h.order {
 		j.est = 0
-		if j.waiting.Len() == 0 || j.pause > now {
+		if j.waiting.Len() == 0 || j.pause > now || j.calledOff {
 			continue
 		}
 		// Tasks of a job older than the lease may run on any machine that is not
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -21,10 +21,11 @@
 	registerCall bool
 	registerAt   micros.Time
 
-	watching bool
-	watchAt  micros.Time
-	watchTry micros.Time
-	term     lease.Term
+	watching   bool
+	watchAt    micros.Time
+	watchTry   micros.Time
+	term       lease.Term
+	newsBefore micros.Time // when the news before the last were sent for
 
 	campaignCall bool
 	campaignAt   micros.Time
@@ -161,6 +162,7 @@
 			switch r.Outcome {
 			case storage.OK:
 				c.term.Confirm(sent)
+				defer func() { c.newsBefore = sent }() // what the next brings came after this
 				for _, it := range r.Items {
 					c.apply(it)
 				}
@@ -204,6 +206,9 @@
 			}
 		}
 	case "job", "fin":
+		if ch.Kind == "job" && c.isCancelled(ch.ID) {
+			c.confirmed(ch.ID, it.Version, false)
+		}
 		for _, n := range sortedKeys(c.holders) {
 			c.holders[n].jobChanged(ch.ID)
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -165,6 +165,7 @@
 	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 		switch {
 		case r.Outcome == storage.OK:
+			c.confirmed(in.ID, r.Revision, true)
 			c.answer(Answer{Request: in.Request, Kind: View, Job: JobView{ID: in.ID, Phase: bookkeeping.Cancelled}})
 		case r.Outcome == storage.Conflict && tries > 0:
 			c.fresh(func(ok bool) {
--- a/internal/protocol/siblings.go
+++ b/internal/protocol/siblings.go
@@ -90,7 +90,16 @@
 		wire.ZoneReachAddAnswered(b, int32(z.Answered))
 		reach = append(reach, wire.ZoneReachEnd(b))
 	}
-	rv := vector(b, reach)
+	var heard []flatbuffers.UOffsetT
+	for _, h := range s.CancelsHeard {
+		member, inc := b.CreateString(h.From.Member), b.CreateString(h.From.Incarnation)
+		wire.CancelsHeardStart(b)
+		wire.CancelsHeardAddMember(b, member)
+		wire.CancelsHeardAddIncarnation(b, inc)
+		wire.CancelsHeardAddUpTo(b, h.UpTo)
+		heard = append(heard, wire.CancelsHeardEnd(b))
+	}
+	rv, cv, hv := vector(b, reach), strings(b, s.Cancelled), vector(b, heard)
 	qv, gone, sv, pv := vector(b, queues), strings(b, s.Gone), vector(b, shifts), vector(b, progress)
 	member, inc := b.CreateString(s.From.Member), b.CreateString(s.From.Incarnation)
 	wire.StatusStart(b)
@@ -105,6 +114,9 @@
 	wire.StatusAddRequests(b, s.Used.Requests)
 	wire.StatusAddWrites(b, s.Used.Writes)
 	wire.StatusAddReach(b, rv)
+	wire.StatusAddCancelled(b, cv)
+	wire.StatusAddCancelledUpTo(b, s.CancelledUpTo)
+	wire.StatusAddCancelsHeard(b, hv)
 	b.Finish(wire.StatusEnd(b))
 	return b.FinishedBytes()
 }
@@ -131,7 +143,14 @@
 	w := wire.GetRootAsStatus(raw, 0)
 	s = &coordination.Status{From: storage.Process{Member: string(w.Member()), Incarnation: string(w.Incarnation())},
 		Revision: w.Revision(), StateOK: w.StateOk(), Gone: stringList(w.GoneLength(), w.Gone),
-		Used: storage.Usage{Requests: w.Requests(), Writes: w.Writes()}}
+		Used:      storage.Usage{Requests: w.Requests(), Writes: w.Writes()},
+		Cancelled: stringList(w.CancelledLength(), w.Cancelled), CancelledUpTo: w.CancelledUpTo()}
+	for i := range w.CancelsHeardLength() {
+		var h wire.CancelsHeard
+		w.CancelsHeard(&h, i)
+		s.CancelsHeard = append(s.CancelsHeard, coordination.CancelsHeard{
+			From: storage.Process{Member: string(h.Member()), Incarnation: string(h.Incarnation())}, UpTo: h.UpTo()})
+	}
 	for i := range w.ReachLength() {
 		var z wire.ZoneReach
 		w.Reach(&z, i)
--- a/internal/protocol/wire/Status.go
+++ b/internal/protocol/wire/Status.go
@@ -194,8 +194,57 @@
 	return 0
 }
 
+func (rcv *Status) Cancelled(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *Status) CancelledLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Status) CancelledUpTo() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Status) MutateCancelledUpTo(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(28, n)
+}
+
+func (rcv *Status) CancelsHeard(obj *CancelsHeard, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Status) CancelsHeardLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func StatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(11)
+	builder.StartObject(14)
 }
 func StatusAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -245,6 +294,21 @@
 func StatusStartReachVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func StatusAddCancelled(builder *flatbuffers.Builder, cancelled flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(cancelled), 0)
+}
+func StatusStartCancelledVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func StatusAddCancelledUpTo(builder *flatbuffers.Builder, cancelledUpTo uint64) {
+	builder.PrependUint64Slot(12, cancelledUpTo, 0)
+}
+func StatusAddCancelsHeard(builder *flatbuffers.Builder, cancelsHeard flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(13, flatbuffers.UOffsetT(cancelsHeard), 0)
+}
+func StatusStartCancelsHeardVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func StatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
