Blocks: a machine up before its rental is answered is not adopted; mute machines

Found by a scenario: a machine that boots within a second or two reports before the cloud's answer, or the record of the rental, is there. The leader adopted it into a block of its own and then put it into the rental's as well, so that one record said that it had tasks and the other that it never had: a new holder that read the second would not have waited for it. It is adopted now only when no rental of its offer is open and the stream has come as far as the last one; an adoption without an answer is sent again under its own key. Records that an older version wrote twice count as used if either says so.

A machine that reaches no controller while direct commands reach it loses its tasks at every end of its lease: nothing is started there after half a lease without an answered report, and after a whole one it is given up, where most others are heard.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -20,7 +20,7 @@
 	assignAt   micros.Time
 	assigning  bool
 	counter    int
-	renting    map[string]bool        // charters with a call or write out
+	renting    map[string]fleet.Offer // charters with a call or write out
 	retry      map[string]micros.Time // charters: not before
 	deleting   map[string]bool
 	deleteCall bool
@@ -33,7 +33,8 @@
 	absent     map[string]micros.Time          // blocks without a machine in the list: since when
 	orphans    map[string]orphan
 	adoptAt    micros.Time
-	closed     uint64 // revision at which the last rental became a block
+	adoptKey   string // of a block whose write was not answered
+	closed     uint64 // revision at which the last rental was written down, or became a block
 	rentAt     micros.Time
 	cloudLeft  float64 // rentals that may be sent
 	cloudAt    micros.Time
@@ -46,13 +47,13 @@
 func (l *leaderState) begin(c *Core) {
 	l.version, l.since = c.replica.Leader.Version, c.now
 	l.assigning, l.deleteCall, l.listing = false, false, false
-	l.renting, l.retry = map[string]bool{}, map[string]micros.Time{}
+	l.renting, l.retry = map[string]fleet.Offer{}, map[string]micros.Time{}
 	l.deleting, l.removing, l.orphans = map[string]bool{}, map[string]micros.Time{}, map[string]orphan{}
 	l.closed = c.replica.Revision
 	l.absent = map[string]micros.Time{}
 	l.deaf = map[storage.Process]micros.Time{}
 	l.gone = map[string]micros.Time{}
-	l.counter = 0
+	l.counter, l.adoptKey = 0, ""
 	l.archive = archive{}
 	c.log(levelInfo, "leading", "token", l.version)
 }
@@ -306,6 +307,24 @@
 	}
 }
 
+// beingRented tells whether a rental of the offer is open: a machine that reports may be
+// one of those it brings, up before the cloud's answer. It is taken into the rental's
+// block then. Adopted as well, it would be in two blocks, and what one record says of it
+// (that it has had tasks) would be hidden by the other.
+func (c *Core) beingRented(o fleet.Offer) bool {
+	for _, out := range c.leader.renting {
+		if out == o {
+			return true
+		}
+	}
+	for _, b := range c.replica.Blocks {
+		if v := b.Value; v.Want > 0 && v.Type == o.Type && v.Zone == o.Zone && v.Spot == o.Spot {
+			return true
+		}
+	}
+	return false
+}
+
 // orphan is a machine without a block.
 type orphan struct {
 	fleet.Offer
@@ -322,6 +341,9 @@
 		return
 	}
 	l.adoptAt = c.now + adoptPace
+	if c.replica.Revision < l.closed {
+		return // a rental may have become a block that is not seen yet
+	}
 	blocks := map[fleet.Offer]storage.BlockRecord{}
 	for _, id := range sortedKeys(l.orphans) {
 		o := l.orphans[id]
@@ -331,6 +353,9 @@
 			delete(l.orphans, id)
 			continue
 		}
+		if c.beingRented(o.Offer) {
+			continue
+		}
 		b, ok := blocks[o.Offer]
 		if !ok {
 			b = storage.BlockRecord{Queue: c.neediest(), Type: o.Type, Zone: o.Zone, Spot: o.Spot}
@@ -341,14 +366,24 @@
 	}
 	for _, o := range slices.SortedFunc(maps.Keys(blocks), fleet.Offer.Compare) {
 		b := blocks[o]
-		l.counter++
-		key := c.keys.Block(fmt.Sprintf("a%d-%d", l.version, l.counter))
+		if l.adoptKey == "" {
+			l.counter++
+			l.adoptKey = c.keys.Block(fmt.Sprintf("a%d-%d", l.version, l.counter))
+		}
+		key := l.adoptKey
 		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key}},
 			Puts: []storage.Put{{Key: key, Value: storage.Encode(b)}}}
 		l.adoptAt = c.now + stateTimeout + micros.Second
 		c.log(levelInfo, "machines adopted", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", len(b.Machines), "queue", b.Queue)
-		// One at a time: a machine must not come into two blocks.
-		if !c.callState(r, storage.Urgent, stateTimeout, func(*storage.Reply) { l.adoptAt = c.now + adoptPace }) {
+		// One at a time, and one whose answer was lost again under its own key until that is
+		// known to be taken: else both may be carried out, and a machine come into two blocks.
+		if !c.callState(r, storage.Urgent, stateTimeout, func(reply *storage.Reply) {
+			l.adoptAt = c.now + adoptPace
+			if reply.Outcome == storage.OK || reply.Outcome == storage.Conflict {
+				l.adoptKey = ""
+				l.closed = max(l.closed, reply.Revision)
+			}
+		}) {
 			l.adoptAt = c.now + adoptPace
 		}
 		return
@@ -458,7 +493,7 @@
 	for _, name := range sortedKeys(c.replica.Blocks) {
 		if b := c.replica.Blocks[name]; b.Value.Want > 0 {
 			open++
-			if !l.renting[name] && c.now >= l.retry[name] {
+			if _, out := l.renting[name]; !out && c.now >= l.retry[name] {
 				c.rent(name, b.Value, b.Version)
 			}
 		}
@@ -545,18 +580,19 @@
 	}, storage.Urgent, stateTimeout, func(reply *storage.Reply) {
 		delete(l.renting, name)
 		if reply.Outcome == storage.OK {
+			l.closed = max(l.closed, reply.Revision)
 			c.rent(name, rec, reply.Revision)
 		}
 	}) {
-		l.renting[name] = true
+		l.renting[name] = r.Offer
 	}
 }
 
 // rent sends a rental that was written down.
 func (c *Core) rent(name string, rec storage.BlockRecord, version uint64) {
 	l := &c.leader
-	l.renting[name] = true
 	offer := fleet.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
+	l.renting[name] = offer
 	c.callCloud(CloudCall{Kind: CloudRent, Charter: name, Rental: fleet.Rental{Offer: offer, Count: rec.Want}, Timeout: 4 * micros.Second}, func(r *CloudReply) {
 		delete(l.renting, name)
 		switch r.Outcome {
@@ -592,7 +628,7 @@
 	} else {
 		r.Puts = []storage.Put{{Key: key, Value: storage.Encode(rec)}}
 	}
-	l.renting[name] = true
+	l.renting[name] = fleet.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
 	again := func() {
 		delete(l.renting, name)
 		l.retry[name] = c.now + 200*micros.Millisecond // the same name gives the same answer
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -111,7 +111,24 @@
 // usable tells whether tasks may be started on the machine.
 func (h *holder) usable(m *machine) bool {
 	return m.known && !m.expired && m.ack == h.token && m.session != 0 && m.block.Used && m.draining == "" &&
-		m.notice == 0 && m.addr != "" && m.failed == 0 && h.c.now-m.seen < h.silence()*3/4
+		m.notice == 0 && m.addr != "" && m.failed == 0 && h.c.now-m.seen < h.silence()*3/4 && h.unanswered(m) < h.c.cfg.Lease()/2
+}
+
+// unanswered is for how long no report of the machine was answered. One that direct
+// commands reach while it reaches no controller loses its tasks all the same when its
+// lease ends: commands do not renew it.
+func (h *holder) unanswered(m *machine) micros.Time {
+	return h.c.now - max(m.answered, h.taken, m.added, h.calmAt)
+}
+
+// mute tells whether a machine that answers calls has reached no controller for a lease,
+// while most others do: it is empty by now, and would stay so.
+func (h *holder) mute(m *machine) bool {
+	if m.session == 0 || h.unanswered(m) <= h.c.cfg.LeaseRunOut() {
+		return false
+	}
+	heard, up := h.countUp(func(o *machine) bool { return h.unanswered(o) < h.c.cfg.Lease()/2 })
+	return heard*2 > up
 }
 
 // lastAnswer is when a worker of this machine can last have had an answer that
@@ -242,6 +259,8 @@
 			h.drain(m, "silent")
 		case !up && m.kind != nil && now-m.added > 3*m.kind.Boot+10*micros.Second:
 			h.drain(m, "never came up")
+		case h.mute(m):
+			h.drain(m, "mute")
 		case h.c.faults.Faulty(m.id):
 			h.drain(m, "faulty")
 		case m.ranN >= slowAfter && m.slowness() > tooSlow:
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -32,6 +32,7 @@
 	neverUp   float64 // share of new machines
 	slowBoot  float64 // factor
 	late      micros.Time
+	slowly    micros.Time // answers to rentals come so late, which are carried out at once
 	lag       micros.Time
 	snapshots []snapshot
 }
@@ -91,6 +92,11 @@
 			c.w.after(c.late, func() { c.rent(r.Body) })
 			return // no answer; executed late
 		}
+		if c.slowly > 0 && r.Path == "/machines" && r.Method == "POST" {
+			status, body := c.rent(r.Body)
+			c.w.after(c.slowly, func() { reply(status, body) })
+			return
+		}
 		c.serve(r, reply)
 	})
 }
--- a/internal/scenario/meetings.go
+++ b/internal/scenario/meetings.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 
@@ -117,6 +118,29 @@
 	u.w.after(micros.Second/2, func() { u.odd(until) })
 }
 
+// watchBlocks checks that no machine is in two blocks: what one record says of it would
+// hide what the other says.
+func (u *users) watchBlocks() {
+	in := map[string]string{}
+	for key, v := range u.w.state.keys {
+		if !strings.Contains(key, "/block/") && !strings.HasPrefix(key, "block/") {
+			continue
+		}
+		var b struct {
+			M map[string]json.RawMessage `json:"m"`
+		}
+		if err := json.Unmarshal(v.value, &b); err != nil {
+			u.w.breakRule("bench", "%s: %v", key, err)
+		}
+		for m := range b.M {
+			if o := in[m]; o != "" {
+				u.w.breakRule("two_blocks", "%s is in %s and in %s", m, min(o, key), max(o, key))
+			}
+			in[m] = key
+		}
+	}
+}
+
 // idleRoomAfter is how long after all troubles a job may wait while there is room.
 const idleRoomAfter = 90 * micros.Second
 
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -73,6 +73,9 @@
 	"cut zone-b hold for=%d", "cut third hold for=%d", "worker third oneway for=%d", "worker half restart back=0.2", "worker fifth sick",
 	"cut holder-zone next-zone hold for=%d", "cut holder-zone third-zone for=%d", "cut next-zone third-zone hold for=%d", "cut holder-zone hold for=%d",
 	"cut next-zone for=%d", "cut nodes nodes for=%d", "cut others holder hold for=%d", "state down-for node-1 for=%d",
+	"worker any mute for=%d", "worker third mute for=%d", "worker half kept for=%d", "worker all kept for=%d", "worker any stubborn for=%d",
+	"cancel-now n=2 hang=%d", "cancel-now n=3", "cancel-at-end share=0.4 for=%d", "odd for=%d", "looks for=%d", "looks for=60",
+	"state down-for holder for=%d", "state lose 0.5 for=%d", "cloud slowly 3 for=%d",
 	"cloud down for=%d", "cloud late 8 for=%d", "cloud neverup 0.5 for=%d", "cloud slowboot 3 for=%d", "cloud full for=%d",
 }
 
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -343,7 +343,15 @@
 				ref = fmt.Sprintf("wk-%06d", n+i)
 			}
 			j := u.parse(ref, l.set)
-			w.after(micros.Time(i)*l.secs("every", 0.2), func() { u.submit(j) })
+			at := micros.Time(i) * l.secs("every", 0.2)
+			w.after(at, func() { u.submit(j) })
+			if share := l.num("cancelled", 0); share > 0 && w.rng.Float64() < share {
+				w.after(at+micros.Second+w.rng.Int64N(15*micros.Second), func() {
+					if !j.toldDone {
+						u.cancel(j)
+					}
+				})
+			}
 		}
 	case "resubmit":
 		if j := w.users.jobs[l.word(1)]; j != nil {
@@ -523,6 +531,9 @@
 	case "late":
 		c.late = micros.FromSeconds(v)
 		w.after(length, func() { c.late = 0 })
+	case "slowly":
+		c.slowly = micros.FromSeconds(v)
+		w.after(length, func() { c.slowly = 0 })
 	case "neverup":
 		c.neverUp = v
 		w.after(length, func() { c.neverUp = 0 })
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -415,6 +415,7 @@
 	}
 	if u.w.now%micros.Second < every {
 		u.watchRoom()
+		u.watchBlocks()
 	}
 	u.w.after(every, u.watch)
 }
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -215,10 +215,16 @@
 		// come first, and owns the machine then.
 		if _, ok := b.Machines[m]; !ok && r.Machines[m].Value.Block == name {
 			delete(r.Machines, m)
+			r.elsewhere(m)
 			touched = append(touched, m)
 		}
 	}
 	for m, rec := range b.Machines {
+		// Two records have it while it moves, or because an older version adopted what
+		// was being rented: it had tasks if either says so.
+		if had, ok := r.Machines[m]; ok && had.Value.Block != name && had.Value.Used {
+			rec.Used = true
+		}
 		r.Machines[m] = Versioned[Machine]{Machine{rec, name, b.Queue, b.Type, b.Zone, b.Spot}, it.Version}
 		touched = append(touched, m)
 	}
@@ -226,6 +232,16 @@
 	return touched, true, nil
 }
 
+// elsewhere finds a machine in another block's record than the one that it left.
+func (r *Replica) elsewhere(m string) {
+	for name, b := range r.Blocks {
+		if rec, ok := b.Value.Machines[m]; ok {
+			r.Machines[m] = Versioned[Machine]{Machine{rec, name, b.Value.Queue, b.Value.Type, b.Value.Zone, b.Value.Spot}, b.Version}
+			return
+		}
+	}
+}
+
 // With is the record with a machine set, Without the record without some: records
 // are shared, so they are copied before a change.
 func (b BlockRecord) With(m string, rec MachineRecord) BlockRecord {
