--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -100,8 +100,19 @@
 	Deadline        micros.Time `json:"d,omitempty"` // after submission; 0: none
 	Submitted       micros.Time `json:"at"`          // time of day
 	Phase           Phase       `json:"p,omitempty"`
+
+	// Jobs that must be done before a task of this one starts: those that were not when
+	// it was accepted. A list that is too long for the record is stored in parts, before
+	// the record, under the name WaitKey.
+	WaitsOn   []string    `json:"w,omitempty"`
+	WaitKey   string      `json:"wk,omitempty"`
+	WaitParts int         `json:"wn,omitempty"`
+	Over      micros.Time `json:"o,omitempty"` // time of day at which it was done
 }
 
+// Waits tells whether the job was accepted before all that it needs was done.
+func (j *Job) Waits() bool { return len(j.WaitsOn) > 0 || j.WaitParts > 0 }
+
 // Final returns the little that must be kept of a job that is over: the team and
 // the need still count while tasks of it are on machines.
 func (j *Job) Final(p Phase) *Job {
--- a/internal/bookkeeping/taskset.go
+++ b/internal/bookkeeping/taskset.go
@@ -7,10 +7,39 @@
 	"strings"
 )
 
-// ChunkTasks is how many tasks' finished ranges one key holds. At worst, every
-// second task is finished, and the text takes 5 bytes for each: well below the
-// value limits in use.
-const ChunkTasks = 1024
+const (
+	// ChunkTasks is how many tasks' finished ranges one key holds. At worst, every
+	// second task is finished, and the text takes 5 bytes for each.
+	ChunkTasks = 1024
+	// ChunkBytes is what a chunk takes at worst, quotes included.
+	ChunkBytes = ChunkTasks/2*5 + 2
+	// PartTasks is the same for a part, which fits where a chunk does not: parts are
+	// numbered from FirstPart on, and both kinds may hold tasks of one job.
+	PartTasks = 256
+	FirstPart = 1 << 20
+)
+
+// Unit is the chunk, or the part, that a task belongs to.
+func Unit(task int, parts bool) int {
+	if parts {
+		return FirstPart + task/PartTasks
+	}
+	return task / ChunkTasks
+}
+
+// unitRange is the first task of a chunk or part, and how many it has.
+func unitRange(unit int) (first, count int) {
+	if unit >= FirstPart {
+		return (unit - FirstPart) * PartTasks, PartTasks
+	}
+	return unit * ChunkTasks, ChunkTasks
+}
+
+// InUnit tells whether a task belongs to a chunk or part.
+func InUnit(task, unit int) bool {
+	first, count := unitRange(unit)
+	return task >= first && task < first+count
+}
 
 // TaskSet is a set of task numbers.
 type TaskSet struct {
@@ -61,17 +90,17 @@
 	return -1
 }
 
-// Ranges writes the members of chunk c as text, relative to the chunk: "0-5,7".
-func (s *TaskSet) Ranges(c int) string {
+// Ranges writes the members of a chunk or part as text, relative to it: "0-5,7".
+func (s *TaskSet) Ranges(unit int) string {
 	var b strings.Builder
-	lo := c * ChunkTasks
-	for i := lo; i < lo+ChunkTasks; {
+	lo, count := unitRange(unit)
+	for i := lo; i < lo+count; {
 		first := s.Next(i)
-		if first < 0 || first >= lo+ChunkTasks {
+		if first < 0 || first >= lo+count {
 			break
 		}
 		last := first
-		for last+1 < lo+ChunkTasks && s.Has(last+1) {
+		for last+1 < lo+count && s.Has(last+1) {
 			last++
 		}
 		if b.Len() > 0 {
@@ -87,8 +116,9 @@
 	return b.String()
 }
 
-// AddRanges adds what Ranges wrote of chunk c.
-func (s *TaskSet) AddRanges(c int, text string) error {
+// AddRanges adds what Ranges wrote of a chunk or part.
+func (s *TaskSet) AddRanges(unit int, text string) error {
+	lo, count := unitRange(unit)
 	if text == "" {
 		return nil
 	}
@@ -99,11 +129,11 @@
 		if err == nil && two {
 			last, err = strconv.Atoi(b)
 		}
-		if err != nil || first < 0 || last < first || last >= ChunkTasks {
+		if err != nil || first < 0 || last < first || last >= count {
 			return fmt.Errorf("finished ranges: %q", part)
 		}
 		for i := first; i <= last; i++ {
-			s.Add(c*ChunkTasks + i)
+			s.Add(lo + i)
 		}
 	}
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,8 +61,45 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are limits that come into force at some moment, unannounced.
+	Next *NextState `toml:"next"`
 }
 
+// NextState are limits to come; what is left out stays as it is.
+type NextState struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// StateLimits are the limits that every request keeps to from the start: the smaller
+// ones of those in force and those to come, since the change comes unannounced, and a
+// record that can no longer be written would stop its job, block or queue.
+func (s *Settings) StateLimits() State {
+	l := State{RPS: s.State.RPS, WriteRPS: s.State.WriteRPS, ValueKB: s.State.ValueKB, TxnOps: s.State.TxnOps}
+	n := s.State.Next
+	if n == nil {
+		return l
+	}
+	smaller := func(v *float64, next float64) {
+		if next > 0 {
+			*v = min(*v, next)
+		}
+	}
+	smaller(&l.RPS, n.RPS)
+	smaller(&l.WriteRPS, n.WriteRPS)
+	smaller(&l.ValueKB, n.ValueKB)
+	if n.TxnOps > 0 {
+		l.TxnOps = min(l.TxnOps, n.TxnOps)
+	}
+	return l
+}
+
+// MaxValue is how many bytes a value in the state service may have, with some left for
+// how the service counts them.
+func (s *Settings) MaxValue() int { return int(s.StateLimits().ValueKB * 1024 * 0.95) }
+
 // Cloud are the limits of the cloud's interface.
 type Cloud struct {
 	RPS      float64 `toml:"rps"`
@@ -218,6 +255,17 @@
 	positive("settings.state.rps", s.State.RPS)
 	positive("settings.state.write_rps", s.State.WriteRPS)
 	positive("settings.state.value_kb", s.State.ValueKB)
+	if n := s.State.Next; n != nil {
+		atLeast0("settings.state.next.rps", n.RPS)
+		atLeast0("settings.state.next.write_rps", n.WriteRPS)
+		atLeast0("settings.state.next.value_kb", n.ValueKB)
+		if n.TxnOps != 0 && n.TxnOps < 4 {
+			bad("settings.state.next.txn_ops", "must be at least 4, is %d", n.TxnOps)
+		}
+	}
+	if v := s.MaxValue(); s.State.ValueKB > 0 && v < minValue {
+		bad("settings.state.value_kb", "must leave %d bytes for a value, also in state.next, leaves %d", minValue, v)
+	}
 	if s.State.TxnOps < 4 {
 		bad("settings.state.txn_ops", "must be at least 4, is %d", s.State.TxnOps)
 	}
@@ -242,6 +290,10 @@
 	return errs
 }
 
+// minValue is the least that a value must be able to hold: a job with every field but its
+// lists, a part of the finished ranges of a job.
+const minValue = 900
+
 // Warnings are settings that can be lived with, but that the operator should know
 // of; each names its field.
 func (c *Config) Warnings() []string {
@@ -265,8 +317,8 @@
 			warn(fmt.Sprintf("settings.teams[%d].gpus", i), "%v are guaranteed, but gpus_max allows %v", t.GPUs, t.GPUsMax)
 		}
 	}
-	if fair := s.State.WriteRPS / float64(max(1, s.Nodes)); fair < 4 {
-		warn("settings.state.write_rps", "%v leaves each controller less than 4 changes a second", s.State.WriteRPS)
+	if l := s.StateLimits(); l.WriteRPS/float64(max(1, s.Nodes)) < 4 {
+		warn("settings.state.write_rps", "%v leaves each controller less than 4 changes a second", l.WriteRPS)
 	}
 	return out
 }
@@ -306,7 +358,7 @@
 func (c *Config) KeepFinished() int {
 	s := &c.Settings
 	memory := s.MachineLimits.MemoryMB * 1e6 / 16 / finishedBytes
-	list := s.State.RPS / float64(max(1, s.Nodes)) * 500
+	list := s.StateLimits().RPS / float64(max(1, s.Nodes)) * 500
 	return int(min(memory, list))
 }
 
--- a/internal/coordination/archive.go
+++ b/internal/coordination/archive.go
@@ -46,17 +46,26 @@
 		a.ages = a.ages[1:]
 	}
 	keep := c.cfg.KeepFinished()
+	if !a.moved && c.now >= a.at && c.now-a.ages[0].at > safe && c.stateOK() {
+		if stale := c.replica.StaleParts(a.ages[0].revision, c.cfg.Settings.StateLimits().TxnOps); len(stale) > 0 {
+			a.at = c.now + archivePace
+			a.moved = c.callState(&storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader()}, Deletes: stale},
+				storage.Patient, stateTimeout, func(*storage.Reply) { a.moved = false })
+			return
+		}
+	}
 	if a.moved || c.now < a.at || len(c.replica.Jobs) <= keep || c.now-a.ages[0].at <= safe || !c.stateOK() {
 		return
 	}
 	a.at = c.now + archivePace
 	var over []*storage.JobEntry
-	for _, e := range c.replica.Jobs {
-		if e.Job.Phase != bookkeeping.Active {
+	for id, e := range c.replica.Jobs {
+		// A needed job stays at hand while an unfinished one names it.
+		if e.Job.Phase != bookkeeping.Active && len(c.replica.Needed[id]) == 0 {
 			over = append(over, e)
 		}
 	}
-	most := min(len(over)-keep, c.cfg.Settings.State.TxnOps/2)
+	most := min(len(over)-keep, c.cfg.Settings.StateLimits().TxnOps/2)
 	if most <= 0 {
 		return
 	}
@@ -76,7 +85,7 @@
 	}
 	a.moved = c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) {
 		a.moved = false
-		a.at = c.now + max(archivePace, micros.FromSeconds(float64(r.Writes())*archivePart/c.cfg.Settings.State.WriteRPS))
+		a.at = c.now + max(archivePace, micros.FromSeconds(float64(r.Writes())*archivePart/c.cfg.Settings.StateLimits().WriteRPS))
 	})
 }
 
--- a/internal/coordination/cancelling.go
+++ b/internal/coordination/cancelling.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/micros"
 	"pipitlatch/internal/storage"
 )
@@ -171,7 +170,7 @@
 // isCancelled tells whether a job is cancelled as far as the stream shows.
 func (c *Core) isCancelled(id string) bool {
 	e := c.replica.Jobs[id]
-	return e != nil && e.Job.Phase == bookkeeping.Cancelled
+	return e != nil && e.Cancelled()
 }
 
 // kill stops a task of a cancelled job. The cancellation came after the news before
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -54,6 +54,7 @@
 	ends      map[storage.Process]micros.Time // when a process was first known dead
 	peers     map[string]*peerView
 	cancelled cancellations
+	lists     int // of needed jobs that were stored in parts
 	progress  map[string]JobProgress
 	leader    leaderState
 	stats     *bookkeeping.RunTimes
@@ -90,7 +91,7 @@
 		cfg: cfg, proc: storage.Process{Member: cfg.Member, Incarnation: incarnation},
 		teams: bookkeeping.Teams(cfg), keys: keys, pending: map[uint64]func(any){},
 		workerMost: max(1, cfg.Sockets().Calls/2), // the other half are idle connections
-		budget:     storage.NewBudget(cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.Nodes),
+		budget:     storage.NewBudget(cfg.Settings.StateLimits().RPS, cfg.Settings.StateLimits().WriteRPS, cfg.Settings.Nodes),
 		holders:    map[int]*holder{}, ends: map[storage.Process]micros.Time{},
 		peers: map[string]*peerView{}, cancelled: newCancellations(), progress: map[string]JobProgress{},
 		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
@@ -253,25 +254,6 @@
 	})
 }
 
-// keepCatalog takes the machine types from the state when the cloud has not told
-// them yet: a controller that starts while the cloud is down must be able to
-// judge submissions and to plan. The leader writes them down.
-func (c *Core) keepCatalog() {
-	stored := c.replica.Catalog.Value
-	if c.catalog == nil && len(stored) > 0 {
-		c.catalog = stored
-	}
-	if !c.leading() || !c.catalogOwn || c.catalogSave || c.now-c.catalogSaved < 10*micros.Second || c.catalog.SameTypes(stored) {
-		return
-	}
-	key := c.keys.Catalog()
-	c.catalogSaved = c.now
-	c.catalogSave = c.callState(&storage.Request{Kind: storage.Commit,
-		Conditions: []storage.Condition{c.asLeader(), {Key: key, Version: c.replica.Catalog.Version}},
-		Puts:       []storage.Put{{Key: key, Value: storage.Encode(c.catalog)}},
-	}, storage.Patient, stateTimeout, func(*storage.Reply) { c.catalogSave = false })
-}
-
 const (
 	// staleAfter is how old news of the state may be before it counts as out of
 	// reach: a watch comes back once a second.
--- a/internal/coordination/finished.go
+++ b/internal/coordination/finished.go
@@ -18,7 +18,13 @@
 		return
 	}
 	j.pending.Add(t)
-	j.chunks[t/bookkeeping.ChunkTasks] = true
+	j.chunks[bookkeeping.Unit(t, h.c.finParts())] = true
+}
+
+// finParts tells whether finished ranges are written in parts: where a chunk would not
+// fit at its worst, as soon as no older version is about, which reads chunks only.
+func (c *Core) finParts() bool {
+	return c.replica.Format >= storage.Format && c.cfg.Settings.MaxValue() < bookkeeping.ChunkBytes
 }
 
 // partialEvery is how often finished tasks of an unfinished job are stored.
@@ -35,14 +41,16 @@
 		j.storeAt = h.c.now + partialEvery
 		return
 	}
-	maxOps := h.c.cfg.Settings.State.TxnOps
+	maxOps := h.c.cfg.Settings.StateLimits().TxnOps
 	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{
 		{Key: h.c.keys.Queue(h.queue), Version: h.token},
 		{Key: h.c.keys.Job(j.ID), Version: j.version},
 	}}
 	written := map[int]*bookkeeping.TaskSet{}
 	if whole {
-		r.Puts = append(r.Puts, storage.Put{Key: h.c.keys.Job(j.ID), Value: storage.Encode(j.Final(bookkeeping.Done))})
+		over := j.Final(bookkeeping.Done)
+		over.Over = h.c.wall
+		r.Puts = append(r.Puts, storage.Put{Key: h.c.keys.Job(j.ID), Value: storage.Encode(over)})
 		for _, chunk := range sortedKeys(j.entry.FinVersion) {
 			if len(r.Deletes)+1 < maxOps {
 				r.Deletes = append(r.Deletes, h.c.keys.Fin(j.ID, chunk))
@@ -82,16 +90,15 @@
 		j.storeAt = h.c.now + partialEvery
 		for _, m := range h.machines {
 			for _, a := range m.attempts {
-				if a.j == j && a.state == Exited && (whole || has(written[a.id.Task/bookkeeping.ChunkTasks], a.id.Task)) {
+				if a.j == j && a.state == Exited && (whole || wrote(written, a.id.Task)) {
 					a.stored = true
 				}
 			}
 		}
 		for chunk, set := range written {
 			left := false
-			lo := chunk * bookkeeping.ChunkTasks
-			for t := j.pending.Next(lo); t >= 0 && t < lo+bookkeeping.ChunkTasks; t = j.pending.Next(t + 1) {
-				left = left || !set.Has(t)
+			for t := j.pending.Next(0); t >= 0; t = j.pending.Next(t + 1) {
+				left = left || (bookkeeping.InUnit(t, chunk) && !set.Has(t))
 			}
 			if !left {
 				delete(j.chunks, chunk)
@@ -105,3 +112,8 @@
 		}
 	})
 }
+
+// wrote tells whether a task was among those that were written, by chunk or part.
+func wrote(written map[int]*bookkeeping.TaskSet, task int) bool {
+	return has(written[bookkeeping.Unit(task, false)], task) || has(written[bookkeeping.Unit(task, true)], task)
+}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -49,6 +49,12 @@
 	turn       int                    // counts rounds of sending
 	marking    map[string]micros.Time // blocks whose record of use is being written, or was: not again before
 	kills      []*attempt             // of cancelled jobs, not shown gone
+	unknown    map[string]micros.Time // needed jobs that are not in memory: not looked up before
+	resolving  int                    // look-ups that are out
+	doomed     map[string]bool        // cancelled with a job before them, which is to be written down
+	dooming    bool
+	doomAt     micros.Time
+	heirs      map[string]heir // of this plan
 }
 
 // job is an active job of the queue.
@@ -71,6 +77,8 @@
 	spared    *bookkeeping.TaskSet // stopped once for another job, and not again
 	double    []*attempt           // second attempts at a live task, being stopped
 	calledOff bool                 // a sibling knows it to be cancelled: it starts nothing any more
+	blocked   bool                 // it waits on others
+	ready     micros.Time          // time of day since which it may start
 }
 
 func (j *job) finished(task int) bool {
@@ -116,7 +124,8 @@
 func newHolder(c *Core, n int, v storage.Versioned[storage.QueueRecord]) *holder {
 	h := &holder{c: c, queue: n, since: v.Version, token: v.Version, former: v.Value.Former, taken: c.now,
 		jobs: map[string]*job{}, usage: map[string]bookkeeping.Resources{}, dirty: true, lastTick: c.now,
-		calmAt: c.now, planPause: planPace, noRoom: map[roomShape]bool{}, zones: map[string]*zoneView{}, marking: map[string]micros.Time{}}
+		calmAt: c.now, planPause: planPace, noRoom: map[roomShape]bool{}, zones: map[string]*zoneView{}, marking: map[string]micros.Time{},
+		unknown: map[string]micros.Time{}, doomed: map[string]bool{}}
 	for _, id := range sortedKeys(c.replica.Machines) {
 		h.blockChanged(id)
 	}
@@ -230,7 +239,10 @@
 func (h *holder) jobChanged(id string) {
 	e := h.c.replica.Jobs[id]
 	j := h.jobs[id]
-	if e == nil || e.Job.Phase != bookkeeping.Active || h.c.queueOf(e.Job) != h.queue {
+	if e != nil && e.Doomed && e.Job.Phase == bookkeeping.Active && h.c.queueOf(e.Job) == h.queue {
+		h.doomed[id] = true
+	}
+	if e == nil || e.Job.Phase != bookkeeping.Active || e.Doomed || h.c.queueOf(e.Job) != h.queue {
 		if j != nil {
 			h.jobOver(j)
 		}
@@ -238,6 +250,7 @@
 	}
 	if j != nil {
 		j.entry, j.version = e, e.Version
+		h.wait(j)
 		return
 	}
 	j = &job{Job: e.Job, version: e.Version, entry: e, waiting: bookkeeping.NewTaskSet(e.Job.Tasks),
@@ -248,11 +261,14 @@
 			j.waiting.Add(t)
 		}
 	}
+	j.ready = j.Submitted
+	j.blocked = j.Waits()
 	h.jobs[id] = j
 	i, _ := slices.BinarySearchFunc(h.order, id, func(o *job, id string) int { return cmp.Compare(o.ID, id) })
 	h.order = slices.Insert(h.order, i, j)
 	_, j.calledOff = h.c.cancelled.told[id]
 	j.calledOff = j.calledOff || h.c.cancelled.known[id]
+	h.wait(j)
 	h.dirty = true
 	h.c.log(levelDebug, "job", "job", id, "class", j.Class, "tasks", j.Tasks, "cpu", j.Need.CPU, "estimate_ms", j.Estimate/micros.Millisecond,
 		"due_ms", j.Deadline/micros.Millisecond)
@@ -411,13 +427,16 @@
 	moved := storage.BlockRecord{Queue: s.To, Type: b.Value.Type, Zone: b.Value.Zone, Spot: b.Value.Spot}.With(m.id, b.Value.MachineRecord)
 	key := c.keys.Block(fmt.Sprintf("m%d-%s", h.token, m.id))
 	h.drain(m, "moving")
-	if !c.callState(&storage.Request{Kind: storage.Commit,
+	r := &storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: c.keys.Queue(h.queue), Version: h.token}, {Key: c.keys.Queue(s.To), Version: to.Version},
 			{Key: c.keys.Block(b.Value.Block), Version: rest.Version}, {Key: key}},
 		Puts: []storage.Put{{Key: key, Value: storage.Encode(moved)},
-			{Key: c.keys.Block(b.Value.Block), Value: storage.Encode(rest.Value.Without(m.id))},
-			{Key: c.keys.Queue(h.queue), Value: storage.Encode(from.Value)}, {Key: c.keys.Queue(s.To), Value: storage.Encode(to.Value)}},
-	}, storage.Patient, stateTimeout, func(r *storage.Reply) {
+			{Key: c.keys.Queue(h.queue), Value: storage.Encode(from.Value)}, {Key: c.keys.Queue(s.To), Value: storage.Encode(to.Value)}}}
+	if c.putBlock(r, b.Value.Block, rest.Value.Without(m.id)); len(r.Puts) > c.cfg.Settings.StateLimits().TxnOps {
+		m.draining = "" // a record of an older version, too large: the next change splits it
+		return
+	}
+	if !c.callState(r, storage.Patient, stateTimeout, func(r *storage.Reply) {
 		// Without a clear no, the move may still happen: the machine stays drained
 		// here until the stream tells.
 		if r.Outcome == storage.Conflict || r.Outcome == storage.Refused {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"pipitlatch/internal/coordination/fleet"
 	"pipitlatch/internal/coordination/lease"
@@ -42,6 +43,8 @@
 	shifts     map[string][]Shift
 	shiftAt    micros.Time
 	archive    archive
+	formatCall bool
+	formatAt   micros.Time
 }
 
 func (l *leaderState) begin(c *Core) {
@@ -55,6 +58,7 @@
 	l.gone = map[string]micros.Time{}
 	l.counter, l.adoptKey = 0, ""
 	l.archive = archive{}
+	l.formatCall = false
 	c.log(levelInfo, "leading", "token", l.version)
 }
 
@@ -88,6 +92,7 @@
 	c.adoptMachines()
 	c.shiftBlocks()
 	c.tickArchive()
+	c.tickFormat()
 }
 
 // assignQueues leases queues without a live holder. A holder that is registered
@@ -109,7 +114,7 @@
 	}
 	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader()}}
 	for _, a := range todo {
-		if len(r.Puts) >= c.cfg.Settings.State.TxnOps {
+		if len(r.Puts) >= c.cfg.Settings.StateLimits().TxnOps {
 			break
 		}
 		m := a.Record.Holder.Member
@@ -272,7 +277,7 @@
 		if rest := b.Value.Without(gone[name]...); len(rest.Machines) == 0 && rest.Want == 0 {
 			r.Deletes = append(r.Deletes, c.keys.Block(name))
 		} else {
-			r.Puts = append(r.Puts, storage.Put{Key: c.keys.Block(name), Value: storage.Encode(rest)})
+			c.putBlock(r, name, rest)
 		}
 		l.removing[name] = c.now + stateTimeout + micros.Second
 		if !c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) { l.removing[name] = c.now + 500*micros.Millisecond }) {
@@ -360,7 +365,7 @@
 		if !ok {
 			b = storage.BlockRecord{Queue: c.neediest(), Type: o.Type, Zone: o.Zone, Spot: o.Spot}
 		}
-		if len(b.Machines) < storage.MaxBlock {
+		if len(b.Machines) < c.maxBlock() {
 			blocks[o.Offer] = b.With(id, storage.MachineRecord{Address: o.address})
 		}
 	}
@@ -371,8 +376,8 @@
 			l.adoptKey = c.keys.Block(fmt.Sprintf("a%d-%d", l.version, l.counter))
 		}
 		key := l.adoptKey
-		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key}},
-			Puts: []storage.Put{{Key: key, Value: storage.Encode(b)}}}
+		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key}}}
+		c.putBlock(r, strings.TrimPrefix(key, c.keys.Block("")), b)
 		l.adoptAt = c.now + stateTimeout + micros.Second
 		c.log(levelInfo, "machines adopted", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", len(b.Machines), "queue", b.Queue)
 		// One at a time, and one whose answer was lost again under its own key until that is
@@ -529,7 +534,7 @@
 		for _, r := range fleet.Choose(needs, c.catalog, most, maxRound/max(1, len(statuses))) {
 			for r.Count > 0 && c.takeCloud() {
 				part := r
-				part.Count = min(r.Count, storage.MaxBlock)
+				part.Count = min(r.Count, c.maxBlock())
 				c.charter(q.Queue, part)
 				r.Count -= part.Count
 			}
@@ -626,7 +631,7 @@
 	if len(rec.Machines) == 0 {
 		r.Deletes = []string{key}
 	} else {
-		r.Puts = []storage.Put{{Key: key, Value: storage.Encode(rec)}}
+		c.putBlock(r, name, rec)
 	}
 	l.renting[name] = fleet.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
 	again := func() {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -180,6 +180,8 @@
 	for _, j := range h.order {
 		h.store(j)
 	}
+	h.resolve()
+	h.writeDoomed()
 	h.schedule()
 	h.sendSome()
 }
@@ -447,11 +449,10 @@
 	}
 	for _, name := range order {
 		h.marking[name] = h.c.now + stateTimeout + micros.Second
-		if !h.c.callState(&storage.Request{Kind: storage.Commit,
-			Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token},
-				{Key: h.c.keys.Block(name), Version: h.c.replica.Blocks[name].Version}},
-			Puts: []storage.Put{{Key: h.c.keys.Block(name), Value: storage.Encode(marked[name])}},
-		}, storage.Urgent, stateTimeout, func(*storage.Reply) { h.marking[name] = h.c.now + markPace }) {
+		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token},
+			{Key: h.c.keys.Block(name), Version: h.c.replica.Blocks[name].Version}}}
+		h.c.putBlock(r, name, marked[name])
+		if !h.c.callState(r, storage.Urgent, stateTimeout, func(*storage.Reply) { h.marking[name] = h.c.now + markPace }) {
 			h.marking[name] = h.c.now + markPace
 			break
 		}
--- a/internal/coordination/reclaim.go
+++ b/internal/coordination/reclaim.go
@@ -16,7 +16,7 @@
 			within, found = min(within, micros.FromSeconds(o.WithinS)), true
 		}
 	}
-	return h.c.now - (h.c.wall - r.j.Submitted) + within, found
+	return h.c.now - (h.c.wall - r.j.ready) + within, found
 }
 
 // victim is an attempt that could be stopped, with what that costs and gains.
--- /dev/null
+++ b/internal/coordination/records.go
@@ -0,0 +1,90 @@
+package coordination
+
+import (
+	"fmt"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// Every write fits the smaller of the state service's limits in force and to come: the
+// change comes unannounced, and a record that could not be written any more would stop
+// its job, block or queue.
+
+// maxBlock is how many machines a block is given.
+func (c *Core) maxBlock() int {
+	return max(1, min(storage.MaxBlock, (c.cfg.Settings.MaxValue()-200)/storage.MachineBytes))
+}
+
+// putBlock adds the write of a block's record to a request: in several blocks where it is
+// too large for one, as what an older version wrote may be, or with long names. The names
+// of the others are new, so that they meet nothing that is there.
+func (c *Core) putBlock(r *storage.Request, name string, rec storage.BlockRecord) {
+	n := 0
+	for i, part := range rec.Split(c.cfg.Settings.MaxValue()) {
+		key := c.keys.Block(name)
+		if i > 0 {
+			for key = ""; key == ""; n++ {
+				if _, taken := c.replica.Blocks[fmt.Sprintf("%s+%d", name, n)]; !taken {
+					key = c.keys.Block(fmt.Sprintf("%s+%d", name, n))
+				}
+			}
+			r.Conditions = append(r.Conditions, storage.Condition{Key: key})
+		}
+		r.Puts = append(r.Puts, storage.Put{Key: key, Value: storage.Encode(part)})
+	}
+}
+
+// keepCatalog takes the machine types from the state when the cloud has not told
+// them yet: a controller that starts while the cloud is down must be able to
+// judge submissions and to plan. The leader writes them down, in parts if they are too
+// many for one record.
+func (c *Core) keepCatalog() {
+	stored := c.replica.Catalog.Value
+	if c.catalog == nil && len(stored) > 0 {
+		c.catalog = stored
+	}
+	if !c.leading() || !c.catalogOwn || c.catalogSave || c.now-c.catalogSaved < 10*micros.Second || c.catalog.SameTypes(stored) {
+		return
+	}
+	c.catalogSaved = c.now
+	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader()}}
+	if value := storage.Encode(c.catalog); len(value) <= c.cfg.Settings.MaxValue() {
+		key := c.keys.Catalog()
+		r.Conditions = append(r.Conditions, storage.Condition{Key: key, Version: c.replica.Catalog.Version})
+		r.Puts = append(r.Puts, storage.Put{Key: key, Value: value})
+	} else if c.replica.Format < storage.Format {
+		return // an older version would take a part for all
+	} else {
+		c.putTypes(r, stored)
+	}
+	c.catalogSave = c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) { c.catalogSave = false })
+}
+
+// putTypes adds the parts of the catalog that are not stored as they are, as many as one
+// transaction takes; the next look writes the others.
+func (c *Core) putTypes(r *storage.Request, stored bookkeeping.Catalog) {
+	part, n := bookkeeping.Catalog{}, 0
+	flush := func() {
+		same := true
+		for name, t := range part {
+			same = same && stored[name] != nil && bookkeeping.Catalog{name: t}.SameTypes(bookkeeping.Catalog{name: stored[name]})
+		}
+		if key := c.keys.Types(n); !same && len(r.Puts) < c.cfg.Settings.StateLimits().TxnOps {
+			r.Conditions = append(r.Conditions, storage.Condition{Key: key, Version: c.replica.TypesVersion(n)})
+			r.Puts = append(r.Puts, storage.Put{Key: key, Value: storage.Encode(part)})
+		}
+		part = bookkeeping.Catalog{}
+		n++
+	}
+	for _, name := range sortedKeys(c.catalog) {
+		part[name] = c.catalog[name]
+		if len(part) > 1 && len(storage.Encode(part)) > c.cfg.Settings.MaxValue() {
+			delete(part, name)
+			flush()
+			part[name] = c.catalog[name]
+		}
+	}
+	flush()
+}
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -39,11 +39,12 @@
 		return
 	}
 	h.planAt, h.dirty = now, false
+	h.heirs = nil
 	h.c.planned = h
 	clear(h.noRoom)
 	h.replicas = 0
 	for _, j := range h.jobs {
-		if j.Kind == bookkeeping.Service {
+		if j.Kind == bookkeeping.Service && !j.blocked {
 			h.replicas += j.Tasks
 		}
 	}
@@ -57,7 +58,7 @@
 	var queue []*plan.Queued
 	for _, j := range h.order {
 		j.est = 0
-		if j.waiting.Len() == 0 || j.pause > now || j.calledOff {
+		if j.waiting.Len() == 0 || j.pause > now || j.calledOff || j.blocked {
 			continue
 		}
 		// Tasks of a job older than the lease may run on any machine that is not
@@ -77,7 +78,7 @@
 	machines := h.planMachines()
 	plan.Rank(queue, now)
 	slices.SortStableFunc(services, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.Submitted, b.j.Submitted))
+		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.ready, b.j.ready))
 	})
 	slices.SortStableFunc(arrays, func(a, b ranked) int {
 		switch {
@@ -86,7 +87,7 @@
 		case a.pressed != b.pressed:
 			return first(a.pressed)
 		case a.pressed:
-			return cmp.Compare(a.j.Submitted, b.j.Submitted)
+			return cmp.Compare(a.j.ready, b.j.ready)
 		}
 		return cmp.Compare(b.q.Index, a.q.Index)
 	})
@@ -128,7 +129,7 @@
 // such a job begins last of all, and then long after these times. Past them nothing
 // is gained any more, and the index decides again.
 func (h *holder) pressed(j *job) bool {
-	age := h.c.wall - j.Submitted
+	age := h.c.wall - j.ready
 	for _, o := range h.c.cfg.Settings.Objectives {
 		if o.Class != j.Class {
 			continue
@@ -208,11 +209,11 @@
 	var late []ranked
 	for _, r := range arrays {
 		j := r.j
-		if h.c.wall-j.Submitted > firstPatience && len(j.live) == 0 && j.finishedCount() == 0 {
+		if h.c.wall-j.ready > firstPatience && len(j.live) == 0 && j.finishedCount() == 0 {
 			late = append(late, r)
 		}
 	}
-	slices.SortStableFunc(late, func(a, b ranked) int { return cmp.Compare(a.j.Submitted, b.j.Submitted) })
+	slices.SortStableFunc(late, func(a, b ranked) int { return cmp.Compare(a.j.ready, b.j.ready) })
 	for _, r := range late {
 		one := 1
 		h.placeArray(r, machines, &one)
@@ -223,17 +224,19 @@
 // deadline takes d = arrival + 2p.
 func (h *holder) queued(j *job) *plan.Queued {
 	p := h.estimate(j)
-	q := &plan.Queued{Weight: plan.Weight(j.Priority), P: p, Count: j.waiting.Len()}
-	age := h.c.wall - j.Submitted
-	deadline := j.Deadline
-	if deadline == 0 {
-		deadline = 2 * p
-	}
-	q.Due = h.c.now - age + deadline
+	after := h.inherit(j.ID)
+	q := &plan.Queued{Weight: plan.Weight(max(j.Priority, after.priority)), P: p, Count: j.waiting.Len()}
+	due := micros.Max // time of day
 	if j.Deadline > 0 {
+		due = j.Submitted + j.Deadline
+	}
+	if due = min(due, after.due); due != micros.Max {
 		// A job is done with its slowest task: the slack has to do for that one.
-		q.Due -= micros.Time(float64(p) * (h.c.stats.Spread(j.Class) - 1) / 2)
+		due -= micros.Time(float64(p) * (h.c.stats.Spread(j.Class) - 1) / 2)
+	} else {
+		due = j.ready + 2*p
 	}
+	q.Due = h.c.now - h.c.wall + due
 	return q
 }
 
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -39,7 +39,7 @@
 
 // watchPace keeps watches within a share of the request budget.
 func (c *Core) watchPace() micros.Time {
-	share := c.cfg.Settings.State.RPS / float64(c.cfg.Settings.Nodes)
+	share := c.cfg.Settings.StateLimits().RPS / float64(c.cfg.Settings.Nodes)
 	return micros.FromSeconds(min(1, 2.5/share))
 }
 
@@ -147,6 +147,7 @@
 		c.queueChanged(n)
 	}
 	c.noteEnds()
+	r.Touched() // everything was looked at
 	c.log(levelInfo, "state read", "revision", r.Revision, "jobs", len(r.Jobs))
 }
 
@@ -166,6 +167,7 @@
 				for _, it := range r.Items {
 					c.apply(it)
 				}
+				c.touched()
 				c.replica.Revision = max(c.replica.Revision, r.Revision)
 				c.releaseBarrier()
 			case storage.Compacted:
@@ -235,7 +237,7 @@
 	// replacing that of its successor.
 	c.registerCall = c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key, Version: c.replica.Nodes[c.proc.Member].Version}},
-		Puts:       []storage.Put{{Key: key, Value: storage.Encode(c.proc), Lease: c.permit}},
+		Puts:       []storage.Put{{Key: key, Value: storage.Encode(storage.Registration{Process: c.proc, Format: storage.Format}), Lease: c.permit}},
 	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 		c.registerCall = false
 		c.registerAt = c.now + 300*micros.Millisecond
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"slices"
+
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/micros"
 	"pipitlatch/internal/storage"
@@ -18,7 +20,7 @@
 // final answers from what can never change, if it is known.
 func (c *Core) final(req RequestID, id string) bool {
 	e := c.replica.Jobs[id]
-	if e == nil || e.Job.Phase == bookkeeping.Active {
+	if e == nil || (e.Job.Phase == bookkeeping.Active && !e.Doomed) {
 		return false
 	}
 	c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
@@ -27,7 +29,10 @@
 
 func (c *Core) view(e *storage.JobEntry) JobView {
 	v := JobView{ID: e.Job.ID, Phase: e.Job.Phase}
-	switch e.Job.Phase {
+	if e.Doomed {
+		v.Phase = bookkeeping.Cancelled
+	}
+	switch v.Phase {
 	case bookkeeping.Done:
 		v.Done = e.Job.Tasks
 	case bookkeeping.Active:
@@ -96,14 +101,40 @@
 		return
 	}
 	in.Job.Submitted = c.wall
-	key := c.keys.Job(id)
+	c.fitRecord(in.Job)
+	if len(in.Job.WaitsOn) > 0 {
+		c.acceptWaiting(req, in.Job)
+		return
+	}
+	c.accept(req, in.Job)
+}
+
+// fitRecord leaves out of a job's record what says nothing: machine types that do not
+// exist, or on which its tasks do not fit.
+func (c *Core) fitRecord(j *bookkeeping.Job) {
+	j.Types = slices.DeleteFunc(slices.Clone(j.Types), func(name string) bool {
+		t := c.catalog[name]
+		return t == nil || !j.Need.Fits(t.Capacity)
+	})
+	slices.Sort(j.Types)
+	j.Types = slices.Compact(j.Types)
+}
+
+// accept writes a job's record, by which it is accepted.
+func (c *Core) accept(req RequestID, job *bookkeeping.Job) {
+	id := job.ID
+	key, value := c.keys.Job(id), storage.Encode(job)
+	if len(value) > c.cfg.Settings.MaxValue() {
+		c.answer(Answer{Request: req, Kind: Impossible, Text: "its description is too long to be kept"})
+		return
+	}
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: []storage.Condition{{Key: key}, {Key: c.keys.Archive(id)}},
-		Puts:       []storage.Put{{Key: key, Value: storage.Encode(in.Job)}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	}, storage.Prompt, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
 		case storage.OK:
-			c.answer(Answer{Request: req, Kind: Accepted, Job: JobView{ID: id}})
+			c.answer(Answer{Request: req, Kind: Accepted, Job: JobView{ID: id, Phase: job.Phase}})
 		case storage.Conflict:
 			c.viewOr(req, id, func() { c.unavailable(req, "try again") })
 		default:
@@ -153,7 +184,7 @@
 	gone := e.Job.Final(bookkeeping.Cancelled)
 	var ranges []string // of finished tasks, which nobody needs any more
 	for _, chunk := range sortedKeys(e.FinVersion) {
-		if len(ranges)+1 < c.cfg.Settings.State.TxnOps {
+		if len(ranges)+1 < c.cfg.Settings.StateLimits().TxnOps {
 			ranges = append(ranges, c.keys.Fin(in.ID, chunk))
 		}
 	}
--- /dev/null
+++ b/internal/coordination/waits.go
@@ -0,0 +1,306 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// Jobs that wait on others. What a job needs never changes, so that it may start, and
+// that it is cancelled with one before it, are functions of records (storage.Replica),
+// the same on every controller. Nothing here believes more than the stream shows: that
+// the tasks of a needed job ended is not enough, its record has to say so.
+
+// Format is written once every member of the settings was registered with a version that
+// reads the new forms: until then an older one may still become the holder, and would
+// start a job without regard to what it waits for.
+func (c *Core) tickFormat() {
+	l := &c.leader
+	if c.replica.Format >= storage.Format || l.formatCall || c.now < l.formatAt {
+		return
+	}
+	members := []string{c.proc.Member}
+	for _, s := range c.cfg.Siblings {
+		members = append(members, s.Member)
+	}
+	for _, m := range members {
+		if c.replica.Nodes[m].Version == 0 || c.replica.Formats[m] < storage.Format {
+			return
+		}
+	}
+	l.formatAt = c.now + micros.Second
+	l.formatCall = c.callState(&storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader()},
+		Puts: []storage.Put{{Key: c.keys.Format(), Value: storage.Encode(map[string]int{"v": storage.Format})}},
+	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
+		l.formatCall = false
+		if r.Outcome == storage.OK {
+			c.log(levelInfo, "every member reads the new records", "format", storage.Format)
+		}
+	})
+}
+
+// needs is what is to be found out of the jobs that a submission names.
+type needs struct {
+	open      []string // neither done nor cancelled
+	cancelled bool     // one of them is
+}
+
+// checkNeeds looks the jobs up that a submission names, and calls then with what they
+// are, or says why it cannot be taken. The replica must be fresh.
+func (c *Core) checkNeeds(req RequestID, job *bookkeeping.Job, refs []string, n needs, then func(needs)) {
+	for i, ref := range refs {
+		if ref == job.ID {
+			c.answer(Answer{Request: req, Kind: Impossible, Text: "it waits on itself"})
+			return
+		}
+		e := c.replica.Jobs[ref]
+		if e == nil {
+			c.archived(ref, func(e *storage.JobEntry, ok bool) {
+				switch {
+				case !ok:
+					c.unavailable(req, "the state service does not answer")
+				case e == nil:
+					c.answer(Answer{Request: req, Kind: Impossible, Text: "it waits on a job that was never accepted: " + ref})
+				default:
+					n.cancelled = n.cancelled || e.Cancelled()
+					c.checkNeeds(req, job, refs[i+1:], n, then)
+				}
+			})
+			return
+		}
+		switch {
+		case e.Cancelled():
+			n.cancelled = true
+		case e.Job.Phase == bookkeeping.Done:
+		case e.Job.Kind == bookkeeping.Service:
+			// It ends only by cancellation, so what waits on it could never run.
+			c.answer(Answer{Request: req, Kind: Impossible, Text: "it waits on a service: " + ref})
+			return
+		default:
+			n.open = append(n.open, ref)
+		}
+	}
+	then(n)
+}
+
+// acceptWaiting accepts a job that names others: as one that waits on those that are not
+// done yet, or as cancelled if one of them is.
+func (c *Core) acceptWaiting(req RequestID, job *bookkeeping.Job) {
+	if c.replica.Format < storage.Format {
+		c.unavailable(req, "an older version is still running")
+		return
+	}
+	c.fresh(func(ok bool) {
+		if !ok {
+			c.unavailable(req, "the state service does not answer")
+			return
+		}
+		if c.replica.Jobs[job.ID] != nil {
+			c.viewOr(req, job.ID, func() { c.unavailable(req, "try again") })
+			return
+		}
+		c.checkNeeds(req, job, job.WaitsOn, needs{}, func(n needs) {
+			if n.cancelled {
+				over := job.Final(bookkeeping.Cancelled)
+				over.Submitted = c.wall
+				c.accept(req, over)
+				return
+			}
+			job.WaitsOn = n.open
+			c.storeNeeds(req, job)
+		})
+	})
+}
+
+// storeNeeds writes a list of needed jobs that the record has no room for, in parts, and
+// then the record. Parts count only with the record, which names them.
+func (c *Core) storeNeeds(req RequestID, job *bookkeeping.Job) {
+	most := c.cfg.Settings.MaxValue()
+	if len(storage.Encode(job)) <= most-recordSlack {
+		c.accept(req, job)
+		return
+	}
+	each := max(1, most/(maxRefBytes+3))
+	var parts []storage.Put
+	c.lists++
+	job.WaitKey = fmt.Sprintf("%s.%d", c.proc.Incarnation, c.lists)
+	for list := range slices.Chunk(job.WaitsOn, each) {
+		parts = append(parts, storage.Put{Key: c.keys.WaitPart(job.ID, job.WaitKey, len(parts)), Value: storage.Encode(list)})
+	}
+	job.WaitsOn, job.WaitParts = nil, len(parts)
+	c.storeParts(req, job, parts)
+}
+
+const (
+	// recordSlack is left for what a record gets when it is accepted.
+	recordSlack = 40
+	// maxRefBytes is the longest that a job's id may be.
+	maxRefBytes = 23
+)
+
+func (c *Core) storeParts(req RequestID, job *bookkeeping.Job, parts []storage.Put) {
+	if len(parts) == 0 {
+		c.accept(req, job)
+		return
+	}
+	n := min(len(parts), c.cfg.Settings.StateLimits().TxnOps)
+	if !c.callState(&storage.Request{Kind: storage.Commit, Puts: parts[:n]}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
+		if r.Outcome != storage.OK {
+			c.unavailable(req, "the state service does not answer")
+			return
+		}
+		c.storeParts(req, job, parts[n:])
+	}) {
+		c.answer(Answer{Request: req, Kind: Overloaded, Text: "too many changes", RetryAfter: comeBack})
+	}
+}
+
+// touched looks at the jobs again for which something changed with another job.
+func (c *Core) touched() {
+	for _, id := range c.replica.Touched() {
+		for _, n := range sortedKeys(c.holders) {
+			c.holders[n].jobChanged(id)
+		}
+	}
+}
+
+// wait tells how things stand with what a job waits for.
+func (h *holder) wait(j *job) {
+	if !j.blocked {
+		return
+	}
+	blocked, unknown := h.c.replica.Blocked(j.entry)
+	if unknown != "" {
+		h.unknown[unknown] = max(h.unknown[unknown], 1)
+	}
+	if blocked {
+		return
+	}
+	// Times other than the due date count from now, or from when the last of them was
+	// done as its record tells.
+	j.blocked, j.ready = false, j.Submitted
+	for _, w := range j.entry.Waits {
+		if e := h.c.replica.Jobs[w]; e != nil && e.Job.Over > 0 {
+			j.ready = max(j.ready, e.Job.Over)
+		} else {
+			j.ready = h.c.wall
+		}
+	}
+	h.dirty = true
+	h.c.log(levelDebug, "job may start", "job", j.ID)
+}
+
+const (
+	// resolvePace is how often a needed job is looked up that was moved away.
+	resolvePace = 2 * micros.Second
+	// resolveAtOnce bounds the look-ups at a time.
+	resolveAtOnce = 2
+)
+
+// resolve looks needed jobs up that are not in memory.
+func (h *holder) resolve() {
+	if len(h.unknown) == 0 || h.resolving >= resolveAtOnce {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.unknown)) {
+		if h.c.replica.Jobs[id] != nil || len(h.c.replica.Needed[id]) == 0 || h.c.replica.Past[id] != bookkeeping.Active {
+			delete(h.unknown, id)
+			continue
+		}
+		if h.unknown[id] > h.c.now || h.resolving >= resolveAtOnce {
+			continue
+		}
+		h.unknown[id] = h.c.now + resolvePace
+		h.resolving++
+		h.c.archived(id, func(e *storage.JobEntry, ok bool) {
+			h.resolving--
+			if ok && e != nil {
+				h.c.replica.Resolve(id, e.Job.Phase)
+				h.c.touched()
+			}
+		})
+	}
+}
+
+// writeDoomed writes down that jobs are cancelled with one before them, one at a time:
+// every controller says so already.
+func (h *holder) writeDoomed() {
+	if len(h.doomed) == 0 || h.dooming || h.c.now < h.doomAt {
+		return
+	}
+	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token}}}
+	for _, id := range slices.Sorted(maps.Keys(h.doomed)) {
+		e := h.c.replica.Jobs[id]
+		if e == nil || e.Job.Phase != bookkeeping.Active {
+			delete(h.doomed, id)
+			continue
+		}
+		if len(r.Puts) < h.c.cfg.Settings.StateLimits().TxnOps {
+			r.Conditions = append(r.Conditions, storage.Condition{Key: h.c.keys.Job(id), Version: e.Version})
+			r.Puts = append(r.Puts, storage.Put{Key: h.c.keys.Job(id), Value: storage.Encode(e.Job.Final(bookkeeping.Cancelled))})
+		}
+	}
+	if len(r.Puts) == 0 {
+		return
+	}
+	h.doomAt = h.c.now + 300*micros.Millisecond
+	h.dooming = h.c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) { h.dooming = false })
+}
+
+// startSlack is what the start of a task takes besides its image.
+const startSlack = 2 * micros.Second
+
+// heir is what a job must meet for those that wait on it.
+type heir struct {
+	due      micros.Time // time of day; micros.Max: none
+	priority bookkeeping.Priority
+}
+
+// inherit works back from the jobs after one: it has to be done early enough for what is
+// still expected to run after it, its image and start included, and it has the priority
+// of any job that needs it. Exception to the design, whose tasks are independent and have
+// due dates of their own: users set them on the last job only.
+func (h *holder) inherit(id string) heir {
+	if got, ok := h.heirs[id]; ok {
+		return got
+	}
+	out := heir{due: micros.Max}
+	for dep := range h.c.replica.Needed[id] {
+		e := h.c.replica.Jobs[dep]
+		if e == nil || e.Job.Phase != bookkeeping.Active || e.Doomed {
+			continue
+		}
+		after := h.inherit(dep)
+		due := after.due
+		if e.Job.Deadline > 0 {
+			due = min(due, e.Job.Submitted+e.Job.Deadline)
+		}
+		if due != micros.Max {
+			run := micros.Time(float64(h.c.stats.Corrected(e.Job)) * h.c.stats.Spread(e.Job.Class))
+			out.due = min(out.due, due-run-h.fetchTime(e.Job.ImageGB)-startSlack)
+		}
+		out.priority = max(out.priority, after.priority, e.Job.Priority)
+	}
+	if h.heirs == nil {
+		h.heirs = map[string]heir{}
+	}
+	h.heirs[id] = out
+	return out
+}
+
+// fetchTime is how long an image takes to arrive at a machine of the mean.
+func (h *holder) fetchTime(gb float64) micros.Time {
+	sum, n := 0.0, 0
+	for _, t := range h.c.catalog {
+		sum += t.FetchGBps
+		n++
+	}
+	if sum <= 0 {
+		return 0
+	}
+	return micros.FromSeconds(gb * float64(n) / sum)
+}
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -48,6 +48,7 @@
 	SnapshotEveryS *float64 `json:"snapshot_every_s"`
 	SnapshotS      *float64 `json:"snapshot_s"`
 	DueS           *float64 `json:"due_s"`
+	WaitsOn        []string `json:"waits_on"`
 }
 
 var priorities = map[string]bookkeeping.Priority{
@@ -158,6 +159,17 @@
 	if s.DueS != nil {
 		j.Deadline = micros.FromSeconds(amount(e, "due_s", s.DueS, 0, maxSeconds))
 	}
+	named := map[string]bool{}
+	for _, ref := range s.WaitsOn {
+		if !ValidRef(ref) {
+			errs = append(errs, errors.New("waits_on: an entry is not of the form wk-000000"))
+			break
+		}
+		if !named[ref] { // twice the same counts once
+			named[ref] = true
+			j.WaitsOn = append(j.WaitsOn, ref)
+		}
+	}
 	if len(errs) > 0 {
 		return nil, errors.Join(errs...)
 	}
--- a/internal/scenario/state.go
+++ b/internal/scenario/state.go
@@ -51,6 +51,10 @@
 	lateShare float64 // of transactions: executed late, and not answered
 	txnOps    int
 	valueMax  int
+	writeRPS  float64 // 0: the pace is not enforced
+	writeLeft float64
+	writeAt   micros.Time
+	tooLarge  int // requests refused for their size
 }
 
 func newState(w *World) *stateService {
@@ -293,8 +297,17 @@
 		} `json:"writes"`
 	}
 	if json.Unmarshal(body, &t) != nil || len(t.Writes) > s.txnOps || len(t.If) > 4*s.txnOps || len(body) > 64<<10 {
+		s.tooLarge++
 		return 400, []byte(`{"error":"malformed"}`)
 	}
+	if s.writeRPS > 0 {
+		s.writeLeft = min(s.writeRPS, s.writeLeft+s.writeRPS*micros.Seconds(s.w.now-s.writeAt))
+		s.writeAt = s.w.now
+		if s.writeLeft < float64(len(t.Writes)) {
+			return 429, []byte(`{"error":"too many changes"}`)
+		}
+		s.writeLeft -= float64(len(t.Writes))
+	}
 	var failed []string
 	for _, c := range t.If {
 		if s.keys[c.Key].stamp != c.Stamp {
@@ -306,6 +319,7 @@
 	}
 	for _, x := range t.Writes {
 		if len(x.V) > s.valueMax {
+			s.tooLarge++
 			return 400, []byte(`{"error":"value too large"}`)
 		}
 		if x.Set != "" && x.Permit != 0 {
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -37,10 +37,24 @@
 	Machines map[string]MachineRecord `json:"m,omitempty"`
 }
 
-// MaxBlock is how many machines a block has at most: the cloud rents no more at
-// once, and the record stays well below the value limits in use.
+// MaxBlock is how many machines a block has at most: the cloud rents no more at once.
 const MaxBlock = 50
 
+// MachineBytes is about what a machine takes in its block's record.
+const MachineBytes = 64
+
+// Split divides a record so that each part takes at most so many bytes. The first has
+// what is not a machine, and may be all.
+func (b BlockRecord) Split(most int) []BlockRecord {
+	if len(b.Machines) < 2 || len(Encode(b)) <= most {
+		return []BlockRecord{b}
+	}
+	names := slices.Sorted(maps.Keys(b.Machines))
+	head, tail := b.Without(names[len(names)/2:]...), b.Without(names[:len(names)/2]...)
+	tail.Want = 0
+	return append(head.Split(most), tail.Split(most)...)
+}
+
 // MachineRecord is a machine of a block. Used is set, by the holder, before the
 // first task is started there: an unused machine surely has no tasks.
 type MachineRecord struct {
@@ -69,9 +83,17 @@
 	Job        *bookkeeping.Job
 	Version    uint64
 	Finished   *bookkeeping.TaskSet // nil: none
-	FinVersion map[int]uint64       // by chunk
+	FinVersion map[int]uint64       // by chunk or part
+	Waits      []string             // jobs that must be done first
+	Partial    bool                 // its list of them is not whole here
+	Doomed     bool                 // one of them, or one before it, is cancelled
 }
 
+// Cancelled tells whether the job is cancelled: by itself, or with one before it. That
+// is a function of records, so every controller says the same, and it never goes back:
+// a needed job that is cancelled is never done.
+func (e *JobEntry) Cancelled() bool { return e.Job.Phase == bookkeeping.Cancelled || e.Doomed }
+
 // Keys builds the keys below a prefix.
 type Keys struct{ Prefix string }
 
@@ -87,9 +109,21 @@
 func (k Keys) ArchivePrefix() string      { return k.Prefix + "~over/" } // sorts last: a list ends there
 func (k Keys) FinPrefix(id string) string { return k.Prefix + "fin/" + id + "/" }
 func (k Keys) Fin(id string, chunk int) string {
+	if chunk >= bookkeeping.FirstPart {
+		return k.FinPrefix(id) + "p" + strconv.Itoa(chunk-bookkeeping.FirstPart)
+	}
 	return k.FinPrefix(id) + strconv.Itoa(chunk)
 }
 
+// WaitPart is a part of a job's list of needed jobs that its record has no room for.
+func (k Keys) WaitPart(id, name string, n int) string {
+	return k.Prefix + "wait/" + id + "/" + name + "/" + strconv.Itoa(n)
+}
+
+// Format says which forms of records may be written; Types is a part of the catalog.
+func (k Keys) Format() string     { return k.Prefix + "format" }
+func (k Keys) Types(n int) string { return k.Prefix + "types/" + strconv.Itoa(n) }
+
 // Change tells what an event touched: the part of the key below the prefix.
 type Change struct {
 	Kind     string // leader, catalog, node, queue, block, job, fin
@@ -111,13 +145,17 @@
 	Jobs     map[string]*JobEntry
 	Archived bool                    // jobs that were over long ago were moved out of Jobs
 	orphans  map[string]map[int]Item // finished ranges listed before their job
+
+	Formats map[string]int // what each registered member writes, by its registration
+	Format  int            // what may be written
+	waits
 }
 
 // NewReplica returns an empty replica.
 func NewReplica(k Keys) *Replica {
 	return &Replica{Keys: k, Nodes: map[string]Versioned[Process]{}, Queues: map[int]Versioned[QueueRecord]{},
 		Blocks: map[string]Versioned[BlockRecord]{}, Machines: map[string]Versioned[Machine]{},
-		Jobs: map[string]*JobEntry{}, orphans: map[string]map[int]Item{}}
+		Jobs: map[string]*JobEntry{}, orphans: map[string]map[int]Item{}, Formats: map[string]int{}, waits: newWaits()}
 }
 
 func decode[T any](it Item) (Versioned[T], error) {
@@ -175,7 +213,25 @@
 			}
 		}
 	case "node":
-		changed, err = applyTo(r.Nodes, id, it)
+		if changed, err = applyTo(r.Nodes, id, it); changed {
+			var reg Registration
+			if !it.Deleted {
+				err = json.Unmarshal(it.Value, &reg)
+			}
+			r.Formats[id] = reg.Format
+		}
+	case "format":
+		var f struct {
+			Format int `json:"v"`
+		}
+		if err = json.Unmarshal(it.Value, &f); err == nil && !it.Deleted {
+			changed = f.Format > r.Format
+			r.Format = max(r.Format, f.Format)
+		}
+	case "types":
+		changed, err = r.applyTypes(it)
+	case "wait":
+		changed, err = r.applyWaitPart(id, it)
 	case "queue":
 		var n int
 		if n, err = strconv.Atoi(id); err == nil {
@@ -191,7 +247,11 @@
 		var chunk int
 		ref, n, _ := strings.Cut(id, "/")
 		c.ID = ref
-		if chunk, err = strconv.Atoi(n); err == nil {
+		part, isPart := strings.CutPrefix(n, "p")
+		if chunk, err = strconv.Atoi(part); err == nil {
+			if isPart {
+				chunk += bookkeeping.FirstPart
+			}
 			changed, err = r.applyFin(ref, chunk, it)
 		}
 	}
@@ -277,6 +337,9 @@
 		return false, nil
 	}
 	if it.Deleted {
+		if e != nil {
+			r.gone(id, e)
+		}
 		delete(r.Jobs, id)
 		return e != nil, nil
 	}
@@ -298,6 +361,7 @@
 		}
 	}
 	delete(r.orphans, id)
+	r.follow(id, e)
 	return true, nil
 }
 
