--- a/internal/bookkeeping/taskset.go
+++ b/internal/bookkeeping/taskset.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// ChunkTasks is how many tasks' finished ranges one key holds. At worst, every
-	// second task is finished, and the text takes 5 bytes for each.
+	// ChunkTasks is how many tasks' finished ranges one key holds.
 	ChunkTasks = 1024
-	// ChunkBytes is what a chunk takes at worst, quotes included.
-	ChunkBytes = ChunkTasks/2*5 + 2
+	// ChunkBytes is what a chunk takes at worst, quotes included: with every third task
+	// missing, the text has some 8 bytes ("600-601,") for each of them.
+	ChunkBytes = ChunkTasks/3*8 + 64
 	// PartTasks is the same for a part, which fits where a chunk does not: parts are
 	// numbered from FirstPart on, and both kinds may hold tasks of one job.
 	PartTasks = 256
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -211,9 +211,6 @@
 	}
 	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
 	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
-	if l.set["next"] != "" {
-		fmt.Fprintf(&toml, "[settings.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4\n")
-	}
 	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = %v\nmax_connections = %d\n", l.num("cloud_rps", 6), l.num("memory", 125), int(l.num("connections", 1000)))
 	operator := fmt.Sprintf("queues: %d", int(l.num("queues", 1)))
 	for i := range nodes {
@@ -227,12 +224,20 @@
 				fmt.Fprintf(&sib, "[[siblings]]\nmember = \"node-%d\"\nzone = %q\naddress = \"10.0.0.%d:8081\"\n", k, zone(k), k+1)
 			}
 		}
-		conf, err := config.Parse([]byte(own.String()+strings.Replace(body, "[services]", sib.String()+"[services]", 1)), []byte(operator))
+		body = own.String() + strings.Replace(body, "[services]", sib.String()+"[services]", 1)
+		conf, err := config.Parse([]byte(body), []byte(operator))
+		if err != nil {
+			return nil, fmt.Errorf("cluster: %w", err)
+		}
+		next, err := config.Parse([]byte(strings.Replace(body, "[settings.cloud]", nextLimits+"[settings.cloud]", 1)), []byte(operator))
 		if err != nil {
 			return nil, fmt.Errorf("cluster: %w", err)
 		}
+		if l.set["next"] != "" {
+			conf = next
+		}
 		w.conf = conf
-		w.nodes = append(w.nodes, &node{w: w, name: conf.Member, conf: conf, drift: 1 + (w.rng.Float64()-0.5)*0.001,
+		w.nodes = append(w.nodes, &node{w: w, name: conf.Member, conf: conf, next: next, drift: 1 + (w.rng.Float64()-0.5)*0.001,
 			skew: micros.Time((w.rng.Float64() - 0.5) * 10_000)})
 	}
 	w.state = newState(w)
@@ -242,6 +247,9 @@
 	return w, nil
 }
 
+// nextLimits are smaller limits of the state service that are to come.
+const nextLimits = "[settings.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4\n"
+
 func (w *World) addType(l *line) {
 	t := &machineType{name: l.word(1), cores: l.num("cores", 8), ram: l.num("ram", 32), price: l.num("price", 0.4), spot: l.num("spot_price", 0.15),
 		cache: l.num("cache", 80), fetch: l.num("fetch", 0.5), boot: l.secs("boot", 20), room: map[string]int{}}
@@ -387,6 +395,9 @@
 		for i, n := range w.nodes {
 			w.after(micros.Time(i)*l.secs("every", 10), func() {
 				n.crash()
+				if l.set["next"] != "" { // with settings that tell of smaller limits to come
+					n.conf = n.next
+				}
 				w.after(l.secs("back", 3), n.start)
 			})
 		}
@@ -599,7 +610,7 @@
 		if float64(w.vain) > l.num("most", 0) {
 			return fmt.Sprintf("%d starts", w.vain)
 		}
-	case "never-started":
+	case "never-started", "never":
 		if j.starts > 0 {
 			return fmt.Sprintf("%d starts", j.starts)
 		}
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -26,6 +26,7 @@
 	apart         bool
 	loaners       bool
 	runs          micros.Time // true run time
+	odd           float64     // times that for every third task
 	snapshotEvery float64
 	snapshotS     float64
 	mistaken      bool
@@ -449,7 +450,7 @@
 		cores: num("cores", 4), ram: num("ram", 4), bundle: str("image", "img-1"), sizeGB: num("size", 1), berth: fields["zone"],
 		oneZone: fields["one_zone"] != "", apart: fields["apart"] != "", loaners: fields["spot"] != "",
 		runs: micros.FromSeconds(num("runs", 20)), snapshotEvery: num("snapshot", 0), snapshotS: num("save", 0),
-		mistaken: fields["mistaken"] != "", done: map[int]bool{}}
+		odd: num("odd", 1), mistaken: fields["mistaken"] != "", done: map[int]bool{}}
 	if v := fields["types"]; v != "" {
 		j.hulls = strings.Split(v, ",")
 	}
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -497,6 +497,9 @@
 	j := t.job
 	life := t.life
 	length := micros.Time(float64(j.runs) * m.speed)
+	if n%3 == 2 {
+		length = micros.Time(float64(length) * j.odd)
+	}
 	switch {
 	case j.done[n]:
 		length = 0
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -170,6 +170,7 @@
 	w       *World
 	name    string
 	conf    *config.Config
+	next    *config.Config // the same with smaller limits to come
 	core    *coordination.Core
 	life    int // counts processes
 	paused  bool
