--- a/internal/scenario/loopback_test.go
+++ b/internal/scenario/loopback_test.go
@@ -26,8 +26,9 @@
 	mu      sync.Mutex
 	w       *World
 	begin   time.Time
-	control string         // the controller's address
-	clients []*http.Client // of the workers
+	control string            // the controller's address
+	nodes   map[string]string // addresses of controllers, if there are several
+	clients []*http.Client    // of the workers
 	posts   int
 	oks     int
 }
@@ -80,6 +81,9 @@
 		l.clients = append(l.clients, newHTTPClient())
 	}
 	c, control := l.clients[n], l.control
+	if a := l.nodes[m.steward]; a != "" {
+		control = a
+	}
 	l.posts++
 	go func() {
 		status, body := 0, []byte(nil)
