--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -14,9 +14,11 @@
 			set.Add(i)
 		}
 		got := NewTaskSet(size)
-		for c := 0; c*ChunkTasks < size; c++ {
+		parts := rapid.Bool().Draw(t, "parts")
+		for unit := Unit(0, parts); unit <= Unit(size-1, parts); unit++ {
+			c := unit
 			text := set.Ranges(c)
-			if len(text) > 5*ChunkTasks {
+			if most := ChunkBytes; len(text) > most {
 				t.Fatalf("ranges of %d bytes", len(text))
 			}
 			if err := got.AddRanges(c, text); err != nil {
@@ -56,3 +58,20 @@
 		t.Errorf("corrected estimate %d, want 25 s", got)
 	}
 }
+
+// TestWorstRanges: with every third task missing the text is longest.
+func TestWorstRanges(t *testing.T) {
+	for period := 2; period <= 5; period++ {
+		set := NewTaskSet(2 * ChunkTasks)
+		for i := range 2 * ChunkTasks {
+			if i%period != period-1 {
+				set.Add(i)
+			}
+		}
+		for unit, most := range map[int]int{0: ChunkBytes, 1: ChunkBytes, Unit(0, true): 800, Unit(2*ChunkTasks-1, true): 800} {
+			if n := len(set.Ranges(unit)); n == 0 || n+2 > most {
+				t.Errorf("every %dth missing: unit %d takes %d bytes", period, unit, n)
+			}
+		}
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -126,3 +126,19 @@
 		}
 	}
 }
+
+// TestLimitsToCome: everything keeps to the smaller limits from the start.
+func TestLimitsToCome(t *testing.T) {
+	c, err := Parse([]byte(strings.Replace(good, "[settings.cloud]", "[settings.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4\n[settings.cloud]", 1)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := c.Settings.StateLimits(); l.RPS != 100 || l.WriteRPS != 18 || l.ValueKB != 2 || l.TxnOps != 4 || c.Settings.MaxValue() >= 2048 {
+		t.Errorf("limits %+v, values of %d", l, c.Settings.MaxValue())
+	}
+	for _, bad := range []string{"txn_ops = 3", "value_kb = 0.5", "write_rps = -1.0"} {
+		if _, err := Parse([]byte(strings.Replace(good, "[settings.cloud]", "[settings.state.next]\n"+bad+"\n[settings.cloud]", 1)), nil); err == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -41,6 +41,9 @@
 		{`"hulls":["g8"]`, `"hulls":"g8"`, "wk-000412"}, {`"hulls":["g8"]`, `"hulls":[]`, "wk-000412"}, {`"hulls":["g8"]`, `"hulls":[7]`, "wk-000412"},
 		{`"one_zone":true`, `"one_zone":"yes"`, "wk-000412"}, {`"due_s":900.0`, `"due_s":-3`, "wk-000412"},
 		{`"owner":"vision"`, `"owner":""`, "wk-000412"},
+		{`"later":[1]`, `"waits_on":"wk-000001"`, "wk-000412"}, {`"later":[1]`, `"waits_on":["job-1"]`, "wk-000412"},
+		{`"later":[1]`, `"waits_on":["wk-000001",7]`, "wk-000412"}, {`"later":[1]`, `"waits_on":[null]`, "wk-000412"},
+		{`"later":[1]`, `"waits_on":{}`, "wk-000412"},
 	} {
 		body := gostrings.Replace(good, c.from, c.to, 1)
 		id, j, err := ParseSubmission([]byte(body))
@@ -57,7 +60,9 @@
 				Service: true, Replicas: 5, Urgent: true, Hold: 6}}}},
 		Gone: []string{"vm-9"}, Shifts: []coordination.Shift{{Machine: "vm-4", To: 1}},
 		Progress: []coordination.JobProgress{{ID: "wk-1", Done: 2, Running: 3}},
-		Used:     storage.Usage{Requests: 1500, Writes: 2500}, Reach: []coordination.ZoneReach{{Queue: 1, Zone: "a", Asked: 8, Answered: 5}}}
+		Used:     storage.Usage{Requests: 1500, Writes: 2500}, Reach: []coordination.ZoneReach{{Queue: 1, Zone: "a", Asked: 8, Answered: 5}},
+		Cancelled: []string{"wk-7", "wk-8"}, CancelledUpTo: 12,
+		CancelsHeard: []coordination.CancelsHeard{{From: storage.Process{Member: "b", Incarnation: "y"}, UpTo: 3}}}
 	got, err := DecodeStatus(EncodeStatus(s))
 	if err != nil || !reflect.DeepEqual(got, s) {
 		t.Errorf("got %+v, %v", got, err)
@@ -103,3 +108,14 @@
 		t.Error("worker: an unknown state was believed")
 	}
 }
+
+// TestWaitsOn: absent and null mean none, twice the same counts once.
+func TestWaitsOn(t *testing.T) {
+	for from, want := range map[string][]string{`"later":[1]`: nil, `"waits_on":null`: nil, `"waits_on":[]`: nil,
+		`"waits_on":["wk-000398","wk-000405","wk-000398"]`: {"wk-000398", "wk-000405"}} {
+		_, j, err := ParseSubmission([]byte(gostrings.Replace(good, `"later":[1]`, from, 1)))
+		if err != nil || !reflect.DeepEqual(j.WaitsOn, want) {
+			t.Errorf("%s: %v, %v", from, j, err)
+		}
+	}
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -344,6 +344,7 @@
 				ref = fmt.Sprintf("wk-%06d", n+i)
 			}
 			j := u.parse(ref, l.set)
+			w.state.recall(j)
 			at := micros.Time(i) * l.secs("every", 0.2)
 			w.after(at, func() { u.submit(j) })
 			if share := l.num("cancelled", 0); share > 0 && w.rng.Float64() < share {
@@ -513,6 +514,8 @@
 			s.downFor[n.name] = true
 			w.after(length, func() { delete(s.downFor, n.name); s.wake() })
 		}
+	case "load":
+		s.load(l.word(2))
 	case "limits": // from now on
 		s.txnOps, s.valueMax, s.writeRPS = int(l.num("ops", 4)), int(l.num("kb", 2)*1024), l.num("write_rps", 18)
 	case "slow":
--- a/internal/scenario/state.go
+++ b/internal/scenario/state.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"net/url"
+	"os"
 	"sort"
 	"strconv"
 	"strings"
 
+	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/micros"
 	"pipitlatch/internal/protocol"
+	"pipitlatch/internal/storage"
 )
 
 type stateKey struct {
@@ -54,7 +57,8 @@
 	writeRPS  float64 // 0: the pace is not enforced
 	writeLeft float64
 	writeAt   micros.Time
-	tooLarge  int // requests refused for their size
+	tooLarge  int              // requests refused for their size
+	loaded    *storage.Replica // of records that an earlier deployment left
 }
 
 func newState(w *World) *stateService {
@@ -345,3 +349,63 @@
 	s.wake()
 	return 200, encode(map[string]any{"ledger": s.ledger})
 }
+
+// left is what a deployment left in the state service, and said to its siblings.
+type left struct {
+	Ledger uint64 `json:"ledger"`
+	Rows   []struct {
+		Key   string          `json:"key"`
+		V     json.RawMessage `json:"v"`
+		Stamp uint64          `json:"stamp"`
+	} `json:"rows"`
+	Status [][]byte `json:"status"`
+}
+
+func readLeft(file string) (*left, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var d left
+	return &d, json.Unmarshal(raw, &d)
+}
+
+// load puts records in place that an earlier deployment left, whose processes and
+// machines are gone.
+func (s *stateService) load(file string) {
+	d, err := readLeft(file)
+	if err != nil {
+		s.w.breakRule("bench", "%v", err)
+		return
+	}
+	s.loaded = storage.NewReplica(storage.Keys{Prefix: "pl/"})
+	s.next++
+	s.permits[s.next] = s.w.now + micros.Second // of the processes that were registered
+	for _, r := range d.Rows {
+		permit := uint64(0)
+		if strings.HasPrefix(r.Key, "pl/node/") || r.Key == "pl/leader" {
+			permit = s.next
+		}
+		s.keys[r.Key] = stateKey{r.V, r.Stamp, permit}
+		key := strings.Replace(r.Key, "pl/~over/", "pl/job/", 1)
+		if _, _, err := s.loaded.Apply(storage.Item{Key: key, Value: r.V, Version: r.Stamp}); err != nil {
+			s.w.breakRule("bench", "%v", err)
+		}
+	}
+	s.ledger = d.Ledger
+	s.w.cloud.next = 900 // names are never used twice
+}
+
+// recall gives a job's user what was done before the records were left.
+func (s *stateService) recall(j *userJob) {
+	if s.loaded == nil || s.loaded.Jobs[j.ref] == nil {
+		return
+	}
+	e := s.loaded.Jobs[j.ref]
+	j.wantCancel = e.Job.Phase == bookkeeping.Cancelled
+	for t := range j.shards {
+		if e.Job.Phase == bookkeeping.Done || (e.Finished != nil && e.Finished.Has(t)) {
+			j.done[t] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/storage/waits_test.go
@@ -0,0 +1,112 @@
+package storage
+
+import (
+	"fmt"
+	"testing"
+
+	"pipitlatch/internal/bookkeeping"
+)
+
+// put applies a record.
+func put(t *testing.T, r *Replica, version uint64, key string, v any) {
+	t.Helper()
+	it := Item{Key: key, Version: version, Deleted: v == nil}
+	if v != nil {
+		it.Value = Encode(v)
+	}
+	if _, _, err := r.Apply(it); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func job(id string, phase bookkeeping.Phase, waits ...string) *bookkeeping.Job {
+	return &bookkeeping.Job{ID: id, Tasks: 1, Phase: phase, WaitsOn: waits}
+}
+
+// TestWaitsInAnyOrder: what a job may do is the same whatever the order in which records
+// come, since a list has not that of the stream; and a needed job that was moved away,
+// as after an acceptance carried out minutes late, is unknown until it was read.
+func TestWaitsInAnyOrder(t *testing.T) {
+	k := Keys{"pl/"}
+	for _, first := range []bool{true, false} {
+		r := NewReplica(k)
+		later := func() { put(t, r, 9, k.Job("wk-3"), job("wk-3", bookkeeping.Active, "wk-2")) }
+		if first {
+			later()
+		}
+		put(t, r, 8, k.Job("wk-2"), job("wk-2", bookkeeping.Active, "wk-1", "wk-0"))
+		put(t, r, 7, k.Job("wk-1"), job("wk-1", bookkeeping.Done))
+		if !first {
+			later()
+		}
+		e := r.Jobs["wk-2"]
+		if blocked, unknown := r.Blocked(e); !blocked || unknown != "wk-0" {
+			t.Fatalf("blocked %v by %q", blocked, unknown)
+		}
+		r.Touched()
+		r.Resolve("wk-0", bookkeeping.Done)
+		if blocked, _ := r.Blocked(e); blocked || len(r.Touched()) != 1 {
+			t.Error("still blocked, or nobody told")
+		}
+		// The one after it waits for its record, then goes; a cancellation goes all the way.
+		if blocked, _ := r.Blocked(r.Jobs["wk-3"]); !blocked || r.Jobs["wk-3"].Cancelled() {
+			t.Error("wk-3 may start before wk-2 is done")
+		}
+		put(t, r, 10, k.Job("wk-2"), job("wk-2", bookkeeping.Cancelled))
+		if !r.Jobs["wk-3"].Cancelled() {
+			t.Error("wk-3 is not cancelled with wk-2")
+		}
+		put(t, r, 11, k.Job("wk-3"), job("wk-3", bookkeeping.Cancelled))
+		if len(r.Needed) != 0 || len(r.Past) != 0 {
+			t.Errorf("kept: %v %v", r.Needed, r.Past)
+		}
+	}
+	// Archived as cancelled before the late acceptance was carried out.
+	r := NewReplica(k)
+	put(t, r, 5, k.Job("wk-5"), job("wk-5", bookkeeping.Active, "wk-4"))
+	r.Resolve("wk-4", bookkeeping.Cancelled)
+	if !r.Jobs["wk-5"].Cancelled() {
+		t.Error("not cancelled with a job that was moved away")
+	}
+}
+
+// TestLongChains: cancellations reach the end of long chains and wide fans.
+func TestLongChains(t *testing.T) {
+	k, r := Keys{"pl/"}, NewReplica(Keys{"pl/"})
+	const n = 20_000
+	id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
+	put(t, r, 1, k.Job(id(0)), job(id(0), bookkeeping.Active))
+	for i := 1; i <= n; i++ {
+		put(t, r, uint64(i+1), k.Job(id(i)), job(id(i), bookkeeping.Active, id(i-1)))
+	}
+	put(t, r, n+2, k.Job(id(0)), job(id(0), bookkeeping.Cancelled))
+	for i := 1; i <= n; i++ {
+		if !r.Jobs[id(i)].Cancelled() {
+			t.Fatalf("the chain ends at %d", i)
+		}
+	}
+}
+
+// TestSplit: every part fits, none is empty, and no machine is lost.
+func TestSplit(t *testing.T) {
+	b := BlockRecord{Type: "t", Zone: "z", Want: 3, Machines: map[string]MachineRecord{}}
+	for i := range MaxBlock {
+		b.Machines[fmt.Sprintf("vm-%06d", i)] = MachineRecord{Address: fmt.Sprintf("10.100.100.%d:9000", i), Used: i%2 == 0}
+	}
+	seen, want := map[string]bool{}, 0
+	for _, p := range b.Split(1900) {
+		if n := len(Encode(p)); n > 1900 || len(p.Machines) == 0 {
+			t.Errorf("a part of %d bytes, %d machines", n, len(p.Machines))
+		}
+		want += p.Want
+		for m, rec := range p.Machines {
+			if seen[m] || rec != b.Machines[m] {
+				t.Errorf("%s: twice, or changed", m)
+			}
+			seen[m] = true
+		}
+	}
+	if len(seen) != MaxBlock || want != 3 {
+		t.Errorf("%d machines, %d wanted", len(seen), want)
+	}
+}
