Needed jobs: records read from the archive are kept, transactions of parts stay small

A list of thousands of jobs that were over long ago takes as many reads, one after the other: a repeat goes on where the last one ended. Parts of a list go out 32 KiB at a time, since a transaction may have 64.

--- a/internal/coordination/archive.go
+++ b/internal/coordination/archive.go
@@ -89,6 +89,10 @@
 	})
 }
 
+// maxRead bounds the records read from the archive that are kept: a submission that names
+// many such jobs gets on from one repeat to the next.
+const maxRead = 4096
+
 // archived looks a job up that is not in memory, and calls then with its record, nil
 // if there is none. The replica must be fresh: a job that was open or kept then, and
 // is in the archive now, is found; one that is neither was never accepted.
@@ -97,6 +101,10 @@
 		then(nil, true) // nothing was ever moved
 		return
 	}
+	if e := c.archive[id]; e != nil {
+		then(e, true) // it cannot change any more
+		return
+	}
 	if !c.callState(&storage.Request{Kind: storage.Get, Key: c.keys.Archive(id)}, storage.Patient, micros.Second, func(r *storage.Reply) {
 		switch {
 		case r.Outcome == storage.NotFound:
@@ -105,6 +113,11 @@
 			e, err := storage.DecodeJob(r.Items[0])
 			if err != nil {
 				c.log(levelWarn, "bad record", "err", err)
+			} else {
+				if len(c.archive) >= maxRead {
+					clear(c.archive)
+				}
+				c.archive[id] = e
 			}
 			then(e, err == nil)
 		default:
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -54,7 +54,8 @@
 	ends      map[storage.Process]micros.Time // when a process was first known dead
 	peers     map[string]*peerView
 	cancelled cancellations
-	lists     int // of needed jobs that were stored in parts
+	lists     int                          // of needed jobs that were stored in parts
+	archive   map[string]*storage.JobEntry // records read from there
 	progress  map[string]JobProgress
 	leader    leaderState
 	stats     *bookkeeping.RunTimes
@@ -93,7 +94,7 @@
 		workerMost: max(1, cfg.Sockets().Calls/2), // the other half are idle connections
 		budget:     storage.NewBudget(cfg.Settings.StateLimits().RPS, cfg.Settings.StateLimits().WriteRPS, cfg.Settings.Nodes),
 		holders:    map[int]*holder{}, ends: map[storage.Process]micros.Time{},
-		peers: map[string]*peerView{}, cancelled: newCancellations(), progress: map[string]JobProgress{},
+		peers: map[string]*peerView{}, cancelled: newCancellations(), archive: map[string]*storage.JobEntry{}, progress: map[string]JobProgress{},
 		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
 	}
 	c.session.replica = storage.NewReplica(keys)
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -138,6 +138,8 @@
 const (
 	// recordSlack is left for what a record gets when it is accepted.
 	recordSlack = 40
+	// maxPartBytes bounds the parts in one transaction, which may have 64 KiB.
+	maxPartBytes = 32 << 10
 	// maxRefBytes is the longest that a job's id may be.
 	maxRefBytes = 23
 )
@@ -147,7 +149,11 @@
 		c.accept(req, job)
 		return
 	}
-	n := min(len(parts), c.cfg.Settings.StateLimits().TxnOps)
+	n, size := 0, 0
+	for n < min(len(parts), c.cfg.Settings.StateLimits().TxnOps) && (n == 0 || size+len(parts[n].Value) <= maxPartBytes) {
+		size += len(parts[n].Value)
+		n++
+	}
 	if !c.callState(&storage.Request{Kind: storage.Commit, Puts: parts[:n]}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
 		if r.Outcome != storage.OK {
 			c.unavailable(req, "the state service does not answer")
@@ -265,10 +271,13 @@
 // of any job that needs it. Exception to the design, whose tasks are independent and have
 // due dates of their own: users set them on the last job only.
 func (h *holder) inherit(id string) heir {
+	out := heir{due: micros.Max}
+	if len(h.c.replica.Needed[id]) == 0 {
+		return out
+	}
 	if got, ok := h.heirs[id]; ok {
 		return got
 	}
-	out := heir{due: micros.Max}
 	for dep := range h.c.replica.Needed[id] {
 		e := h.c.replica.Jobs[dep]
 		if e == nil || e.Job.Phase != bookkeeping.Active || e.Doomed {
