Split leader.go and machines.go by what each part owns; nothing else changes

rentals.go and adoption.go (the leader's machines), calls.go (what is sent to workers), silence.go (what is concluded from not hearing one).

--- /dev/null
+++ b/internal/coordination/adoption.go
@@ -0,0 +1,130 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"pipitlatch/internal/coordination/fleet"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// found takes a machine that reports and has no block: a rental executed late, or
+// one whose answer was lost. The report may be a late copy from a machine that was
+// deleted under an earlier leader: as a machine that had no task it holds up no
+// planning, and as one that does not answer it is soon deleted again.
+func (l *leaderState) found(c *Core, r *Report) {
+	c.adoptMachine(r.Machine, r.Address, fleet.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
+}
+
+// adoptMachine notes a machine that is to be assigned to the queue with the
+// greatest need. It has had no task: only machines of a block get any, and they
+// leave it only when they are gone.
+func (c *Core) adoptMachine(id, address string, o fleet.Offer) {
+	l := &c.leader
+	if _, gone := l.gone[id]; gone || !c.leading() || l.version != c.replica.Leader.Version {
+		return
+	}
+	if _, known := c.replica.Machines[id]; !known {
+		l.orphans[id] = orphan{o, address}
+	}
+}
+
+// beingRented tells whether a rental of the offer is open: a machine that reports may be
+// one of those it brings, up before the cloud's answer. It is taken into the rental's
+// block then. Adopted as well, it would be in two blocks, and what one record says of it
+// (that it has had tasks) would be hidden by the other.
+func (c *Core) beingRented(o fleet.Offer) bool {
+	for _, out := range c.leader.renting {
+		if out == o {
+			return true
+		}
+	}
+	for _, b := range c.replica.Blocks {
+		if v := b.Value; v.Want > 0 && v.Type == o.Type && v.Zone == o.Zone && v.Spot == o.Spot {
+			return true
+		}
+	}
+	return false
+}
+
+// orphan is a machine without a block.
+type orphan struct {
+	fleet.Offer
+	address string
+}
+
+// adoptPace lets machines found one after the other share a block.
+const adoptPace = 500 * micros.Millisecond
+
+// adoptMachines makes blocks of the machines found.
+func (c *Core) adoptMachines() {
+	l := &c.leader
+	if len(l.orphans) == 0 || c.now < l.adoptAt {
+		return
+	}
+	l.adoptAt = c.now + adoptPace
+	if c.replica.Revision < l.closed {
+		return // a rental may have become a block that is not seen yet
+	}
+	blocks := map[fleet.Offer]storage.BlockRecord{}
+	for _, id := range sortedKeys(l.orphans) {
+		o := l.orphans[id]
+		_, known := c.replica.Machines[id]
+		_, gone := l.gone[id]
+		if known || gone {
+			delete(l.orphans, id)
+			continue
+		}
+		if c.beingRented(o.Offer) {
+			continue
+		}
+		b, ok := blocks[o.Offer]
+		if !ok {
+			b = storage.BlockRecord{Queue: c.neediest(), Type: o.Type, Zone: o.Zone, Spot: o.Spot}
+		}
+		if len(b.Machines) < c.maxBlock() {
+			blocks[o.Offer] = b.With(id, storage.MachineRecord{Address: o.address})
+		}
+	}
+	for _, o := range slices.SortedFunc(maps.Keys(blocks), fleet.Offer.Compare) {
+		b := blocks[o]
+		if l.adoptKey == "" {
+			l.counter++
+			l.adoptKey = c.keys.Block(fmt.Sprintf("a%d-%d", l.version, l.counter))
+		}
+		key := l.adoptKey
+		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key}}}
+		c.putBlock(r, strings.TrimPrefix(key, c.keys.Block("")), b)
+		l.adoptAt = c.now + stateTimeout + micros.Second
+		c.log(levelInfo, "machines adopted", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", len(b.Machines), "queue", b.Queue)
+		// One at a time, and one whose answer was lost again under its own key until that is
+		// known to be taken: else both may be carried out, and a machine come into two blocks.
+		if !c.callState(r, storage.Urgent, stateTimeout, func(reply *storage.Reply) {
+			l.adoptAt = c.now + adoptPace
+			if reply.Outcome == storage.OK || reply.Outcome == storage.Conflict {
+				l.adoptKey = ""
+				l.closed = max(l.closed, reply.Revision)
+			}
+		}) {
+			l.adoptAt = c.now + adoptPace
+		}
+		return
+	}
+}
+
+func (c *Core) neediest() int {
+	best, most := 0, -1
+	for _, q := range c.statuses() {
+		n := 0
+		for _, need := range q.Needs {
+			n += need.Count
+		}
+		if n > most {
+			best, most = q.Queue, n
+		}
+	}
+	return best
+}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -93,61 +93,12 @@
 	}
 }
 
-// silence is how long a machine may go without news.
-func (h *holder) silence() micros.Time {
-	return micros.Time(h.c.cfg.Operator.SilenceMs) * micros.Millisecond
-}
-
-// askAfter is how long a machine may be quiet before it is asked: one that serves
-// somebody earlier, since its replicas are missed from the moment that it dies.
-func (h *holder) askAfter(m *machine) micros.Time {
-	ask := h.silence() * 2 / 3
-	if replicasOn(m) > 0 {
-		ask = min(ask, max(h.silence()/4, 2*micros.Second))
-	}
-	return ask
-}
-
 // usable tells whether tasks may be started on the machine.
 func (h *holder) usable(m *machine) bool {
 	return m.known && !m.expired && m.ack == h.token && m.session != 0 && m.block.Used && m.draining == "" &&
 		m.notice == 0 && m.addr != "" && m.failed == 0 && h.c.now-m.seen < h.silence()*3/4 && h.unanswered(m) < h.c.cfg.Lease()/2
 }
 
-// unanswered is for how long no report of the machine was answered. One that direct
-// commands reach while it reaches no controller loses its tasks all the same when its
-// lease ends: commands do not renew it.
-func (h *holder) unanswered(m *machine) micros.Time {
-	return h.c.now - max(m.answered, h.taken, m.added, h.calmAt)
-}
-
-// mute tells whether a machine that answers calls has reached no controller for a lease,
-// while most others do: it is empty by now, and would stay so.
-func (h *holder) mute(m *machine) bool {
-	if m.session == 0 || h.unanswered(m) <= h.c.cfg.LeaseRunOut() {
-		return false
-	}
-	heard, up := h.countUp(func(o *machine) bool { return h.unanswered(o) < h.c.cfg.Lease()/2 })
-	return heard*2 > up
-}
-
-// lastAnswer is when a worker of this machine can last have had an answer that
-// renewed its lease: ours, or a predecessor's, whose answers end with its term,
-// or with its process if that is known to be dead.
-func (h *holder) lastAnswer(m *machine) micros.Time {
-	last := h.taken
-	if m.block.Used {
-		for _, p := range h.former {
-			end, dead := h.c.ends[p]
-			if !dead {
-				end = h.taken + h.c.cfg.Term()
-			}
-			last = max(last, end)
-		}
-	}
-	return max(last, m.answered)
-}
-
 func (h *holder) tick() {
 	now := h.c.now
 	if now-h.lastTick > micros.Second {
@@ -186,42 +137,6 @@
 	h.sendSome()
 }
 
-// sendSome sends what waits for machines: what services and cancellations wait for
-// first, what machines wait for that did not answer last, and of these another
-// first every time.
-func (h *holder) sendSome() {
-	var rest, failing []*machine
-	for _, m := range h.machines {
-		switch {
-		case len(m.outbox) == 0 || m.calling:
-		case m.failed > 0:
-			failing = append(failing, m)
-		case !slices.ContainsFunc(m.outbox, func(c Command) bool { return c.Op == Stop || h.isService(c.Job) }):
-			rest = append(rest, m)
-		case h.c.roomForCalls(false) > 0:
-			h.send(m)
-		}
-	}
-	for _, m := range rest {
-		if h.c.roomForCalls(false) <= 0 {
-			break
-		}
-		h.send(m)
-	}
-	h.turn++
-	for i := range failing {
-		if h.c.roomForCalls(true) <= 0 {
-			break
-		}
-		h.send(failing[(i+h.turn)%len(failing)])
-	}
-}
-
-func (h *holder) isService(id string) bool {
-	j := h.jobs[id]
-	return j != nil && j.Kind == bookkeeping.Service
-}
-
 func (h *holder) tickMachine(m *machine) {
 	now := h.c.now
 	if m.kind == nil && h.c.catalog != nil {
@@ -344,83 +259,6 @@
 	return 1
 }
 
-// mostKnown tells whether most of the machines in use are known. A third of them may
-// have been lost with the last holder, and all older jobs wait for these.
-func (h *holder) mostKnown() bool {
-	known, used := 0, 0
-	for _, m := range h.machines {
-		if m.block.Used {
-			used++
-			if m.known {
-				known++
-			}
-		}
-	}
-	return known*2 >= used
-}
-
-// manySilent tells whether so many machines are silent, or overdue, at once that
-// the fault is more likely near this controller than at each of them: then none
-// is deleted, and only the end of its lease writes one off. Overdue ones count
-// because in a cut the machines fall silent one after the other. A fault near here
-// hits all alike: while those of another zone, or the ordinary ones, are heard as
-// ever, a zone was lost or spot machines were taken, however many, and what ran
-// there need not wait.
-func (h *holder) manySilent() bool {
-	type share struct {
-		zone string
-		spot bool
-	}
-	var silent, up int
-	shares := map[share][2]int{}
-	for _, m := range h.machines {
-		if m.session == 0 && !m.block.Used {
-			continue
-		}
-		k := share{m.block.Zone, m.block.Spot}
-		n := shares[k]
-		up++
-		n[1]++
-		if h.c.now-m.seen > h.silence()*7/10 {
-			silent++
-			n[0]++
-		}
-		shares[k] = n
-	}
-	if silent <= 2 || silent*2 <= up {
-		return false
-	}
-	for _, n := range shares {
-		if n[1] >= 3 && n[0]*2 <= n[1] {
-			return false
-		}
-	}
-	return true
-}
-
-// othersHeard tells whether a good part of the machines has been heard since the
-// first of the calls in a row that this one did not answer was sent: then it is not
-// this controller that nobody hears. A fault near here shows at once, long before
-// many machines are overdue. Three machines are too few to tell.
-func (h *holder) othersHeard(m *machine) bool {
-	heard, up := h.countUp(func(o *machine) bool { return o.seen > m.vainAt })
-	return heard*4 > up || up <= 3
-}
-
-// countUp counts the machines in use, and those of them that are as asked for.
-func (h *holder) countUp(is func(*machine) bool) (found, up int) {
-	for _, m := range h.machines {
-		if m.session == 0 && !m.block.Used {
-			continue
-		}
-		up++
-		if is(m) {
-			found++
-		}
-	}
-	return found, up
-}
-
 // markPace is how long machines that boot after others of their block wait to be
 // marked together.
 const markPace = 300 * micros.Millisecond
@@ -459,107 +297,6 @@
 	}
 }
 
-// probeSome asks machines for their reports: directly, under our token once its
-// session is known, so that a machine acknowledges it. The one asked longest ago
-// goes first: many that never answer must not keep the others from being asked.
-func (h *holder) probeSome() {
-	room := h.c.roomForCalls(true)
-	if len(h.toProbe) > room {
-		slices.SortStableFunc(h.toProbe, func(a, b *machine) int { return cmp.Compare(a.probed, b.probed) })
-	}
-	for i, m := range h.toProbe {
-		if i >= room {
-			break
-		}
-		if m.calling {
-			continue
-		}
-		m.probed = h.c.now
-		h.callMachine(m, nil, m.session == 0)
-	}
-	clear(h.toProbe)
-	h.toProbe = h.toProbe[:0]
-}
-
-// send sends what waits for a machine.
-func (h *holder) send(m *machine) {
-	if m.calling || len(m.outbox) == 0 || m.ack != h.token || m.session == 0 || m.addr == "" || h.c.now < m.callAt {
-		return
-	}
-	n := min(len(m.outbox), maxOrders)
-	batch := slices.Clone(m.outbox[:n])
-	m.outbox = slices.Delete(m.outbox, 0, n)
-	for i := range batch {
-		a := m.attempts[batch[i].AttemptID]
-		if a != nil && batch[i].Op == Start {
-			a.open++
-			a.sent = true
-		}
-	}
-	h.callMachine(m, batch, false)
-}
-
-func (h *holder) callMachine(m *machine, batch []Command, show bool) {
-	m.calling = true
-	session, seq, token, sent := m.session, m.seq, h.token, h.c.now
-	h.c.callWorker(WorkerCall{Machine: m.id, Address: m.addr, Token: token, Session: session, Commands: batch, Show: show,
-		Timeout: micros.Second}, func(r *WorkerReply) {
-		m.calling = false
-		if h.c.holders[h.queue] != h || h.machine(m.id) != m {
-			return
-		}
-		if r.Report != nil && r.Report.Machine != m.id {
-			r.Report = nil // an address that another machine has now
-			m.addr = ""
-		}
-		for _, cmd := range batch {
-			a := m.attempts[cmd.AttemptID]
-			if a == nil || cmd.Op != Start {
-				continue
-			}
-			a.open--
-			if r.Report == nil && m.session == session {
-				a.lost++ // it may still be executed, even minutes later
-				m.lostStarts = true
-			}
-		}
-		if r.Report == nil {
-			if m.failed++; m.failed == 1 {
-				m.vainAt = sent
-			}
-			m.callAt = h.c.now + 300*micros.Millisecond<<min(m.failed-1, 3)
-			if m.session == session {
-				// The same attempts again: repeating them is safe.
-				m.outbox = append(h.stillWanted(m, batch), m.outbox...)
-			}
-			return
-		}
-		if rep := r.Report; rep.Session < session || (rep.Session == session && rep.Seq <= seq) {
-			// Its answer, given after the call, is older than what was known before it.
-			h.restarted(m)
-			return
-		}
-		m.seen, m.failed, m.vain = h.c.now, 0, 0
-		h.observe(m, r.Report)
-		if show {
-			m.probed = 0 // its session is known now: it can be told our token
-		}
-	})
-}
-
-// stillWanted are the commands of a lost batch that are worth sending again.
-func (h *holder) stillWanted(m *machine, batch []Command) []Command {
-	var out []Command
-	for _, cmd := range batch {
-		a := m.attempts[cmd.AttemptID]
-		if a == nil || a.state == Exited || (cmd.Op == Start && (a.stop || a.shown)) {
-			continue
-		}
-		out = append(out, cmd)
-	}
-	return out
-}
-
 // empty tells whether nothing on the machine matters any more.
 func (h *holder) empty(m *machine) bool {
 	if m.calling || len(m.outbox) > 0 {
