Needed jobs moved away are read before any answer; known jobs come before faults

Every refusal looks the id up first. - A record carried out after the leader deleted its list's parts waited for ever. It now requires the first part, which is deleted first. - A member that came back old after format 2: submissions with waits_on get 503.

--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -56,7 +56,14 @@
 		case !ok:
 			c.unavailable(req, "the state service does not answer")
 		case e != nil:
-			c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
+			c.resolveNeeded(id, func(ok bool) {
+				e := c.replica.Jobs[id]
+				if !ok || e == nil {
+					c.unavailable(req, "the state service does not answer")
+					return
+				}
+				c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
+			})
 		default:
 			c.archived(id, func(e *storage.JobEntry, ok bool) {
 				switch {
@@ -97,7 +104,7 @@
 		return
 	}
 	if why := c.impossible(in.Job); why != "" {
-		c.viewOr(req, id, func() { c.answer(Answer{Request: req, Kind: Impossible, Text: why}) })
+		c.cannotRun(req, id, why)
 		return
 	}
 	in.Job.Submitted = c.wall
@@ -120,16 +127,22 @@
 	j.Types = slices.Compact(j.Types)
 }
 
-// accept writes a job's record, by which it is accepted.
-func (c *Core) accept(req RequestID, job *bookkeeping.Job) {
+// cannotRun refuses a job that can never run, unless it is known: then its user is told
+// of it, whatever the repeated submission looks like.
+func (c *Core) cannotRun(req RequestID, id, why string) {
+	c.viewOr(req, id, func() { c.answer(Answer{Request: req, Kind: Impossible, Text: why}) })
+}
+
+// accept writes a job's record, by which it is accepted, under further conditions.
+func (c *Core) accept(req RequestID, job *bookkeeping.Job, conditions ...storage.Condition) {
 	id := job.ID
 	key, value := c.keys.Job(id), storage.Encode(job)
 	if len(value) > c.cfg.Settings.MaxValue() {
-		c.answer(Answer{Request: req, Kind: Impossible, Text: "its description is too long to be kept"})
+		c.cannotRun(req, id, "its description is too long to be kept")
 		return
 	}
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
-		Conditions: []storage.Condition{{Key: key}, {Key: c.keys.Archive(id)}},
+		Conditions: append([]storage.Condition{{Key: key}, {Key: c.keys.Archive(id)}}, conditions...),
 		Puts:       []storage.Put{{Key: key, Value: value}},
 	}, storage.Prompt, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -43,6 +43,17 @@
 	})
 }
 
+// olderRegistered tells whether a process of an older version serves now: one that came
+// back old although all were new once. It must not get to hold jobs that wait.
+func (c *Core) olderRegistered() bool {
+	for member := range c.replica.Nodes {
+		if c.replica.Formats[member] < storage.Format {
+			return true
+		}
+	}
+	return false
+}
+
 // needs is what is to be found out of the jobs that a submission names.
 type needs struct {
 	open      []string // neither done nor cancelled
@@ -54,7 +65,7 @@
 func (c *Core) checkNeeds(req RequestID, job *bookkeeping.Job, refs []string, n needs, then func(needs)) {
 	for i, ref := range refs {
 		if ref == job.ID {
-			c.answer(Answer{Request: req, Kind: Impossible, Text: "it waits on itself"})
+			c.cannotRun(req, job.ID, "it waits on itself")
 			return
 		}
 		e := c.replica.Jobs[ref]
@@ -64,7 +75,7 @@
 				case !ok:
 					c.unavailable(req, "the state service does not answer")
 				case e == nil:
-					c.answer(Answer{Request: req, Kind: Impossible, Text: "it waits on a job that was never accepted: " + ref})
+					c.cannotRun(req, job.ID, "it waits on a job that was never accepted: "+ref)
 				default:
 					n.cancelled = n.cancelled || e.Cancelled()
 					c.checkNeeds(req, job, refs[i+1:], n, then)
@@ -78,7 +89,7 @@
 		case e.Job.Phase == bookkeeping.Done:
 		case e.Job.Kind == bookkeeping.Service:
 			// It ends only by cancellation, so what waits on it could never run.
-			c.answer(Answer{Request: req, Kind: Impossible, Text: "it waits on a service: " + ref})
+			c.cannotRun(req, job.ID, "it waits on a service: "+ref)
 			return
 		default:
 			n.open = append(n.open, ref)
@@ -90,15 +101,15 @@
 // acceptWaiting accepts a job that names others: as one that waits on those that are not
 // done yet, or as cancelled if one of them is.
 func (c *Core) acceptWaiting(req RequestID, job *bookkeeping.Job) {
-	if c.replica.Format < storage.Format {
-		c.unavailable(req, "an older version is still running")
-		return
-	}
 	c.fresh(func(ok bool) {
 		if !ok {
 			c.unavailable(req, "the state service does not answer")
 			return
 		}
+		if c.replica.Format < storage.Format || c.olderRegistered() {
+			c.viewOr(req, job.ID, func() { c.unavailable(req, "an older version is still running") })
+			return
+		}
 		if c.replica.Jobs[job.ID] != nil {
 			c.viewOr(req, job.ID, func() { c.unavailable(req, "try again") })
 			return
@@ -132,7 +143,7 @@
 		parts = append(parts, storage.Put{Key: c.keys.WaitPart(job.ID, job.WaitKey, len(parts)), Value: storage.Encode(list)})
 	}
 	job.WaitsOn, job.WaitParts = nil, len(parts)
-	c.storeParts(req, job, parts)
+	c.storeParts(req, job, parts, 0)
 }
 
 const (
@@ -144,9 +155,13 @@
 	maxRefBytes = 23
 )
 
-func (c *Core) storeParts(req RequestID, job *bookkeeping.Job, parts []storage.Put) {
+// storeParts writes the parts of a list, as many at a time as a transaction takes, and then
+// the job's record; first is the revision of the list's first part, 0 before it is written.
+// The record requires that part: carried out minutes late, after the leader deleted the
+// parts that no job had, it would be a job that waits for ever.
+func (c *Core) storeParts(req RequestID, job *bookkeeping.Job, parts []storage.Put, first uint64) {
 	if len(parts) == 0 {
-		c.accept(req, job)
+		c.accept(req, job, storage.Condition{Key: c.keys.WaitPart(job.ID, job.WaitKey, 0), Version: first})
 		return
 	}
 	n, size := 0, 0
@@ -159,12 +174,40 @@
 			c.unavailable(req, "the state service does not answer")
 			return
 		}
-		c.storeParts(req, job, parts[n:])
+		if first == 0 {
+			first = r.Revision
+		}
+		c.storeParts(req, job, parts[n:], first)
 	}) {
 		c.answer(Answer{Request: req, Kind: Overloaded, Text: "too many changes", RetryAfter: comeBack})
 	}
 }
 
+// resolveNeeded reads the records of jobs before this one that were moved away, and calls
+// then when it is known whether it is cancelled with one of them. Without this a controller
+// that began after the move would call a job queued that another calls cancelled.
+func (c *Core) resolveNeeded(id string, then func(ok bool)) {
+	c.readNeeded(c.replica, c.replica.Unresolved(id), then)
+}
+
+func (c *Core) readNeeded(replica *storage.Replica, ids []string, then func(ok bool)) {
+	if len(ids) == 0 || c.replica != replica {
+		then(c.replica == replica) // a new copy of the state knows nothing of what was read
+		return
+	}
+	c.archived(ids[0], func(e *storage.JobEntry, ok bool) {
+		if !ok {
+			then(false)
+			return
+		}
+		if e != nil && c.replica == replica {
+			replica.Resolve(ids[0], e.Job.Phase)
+			c.touched()
+		}
+		c.readNeeded(replica, ids[1:], then)
+	})
+}
+
 // touched looks at the jobs again for which something changed with another job.
 func (c *Core) touched() {
 	for _, id := range c.replica.Touched() {
--- a/internal/scenario/checks_test.go
+++ b/internal/scenario/checks_test.go
@@ -73,6 +73,7 @@
 			w.now += 60 * micros.Second
 			say(w, "queued")
 		},
+		"invented": func(w world) { w.users.strangerTold("wk-000009", 200) },
 		"two_blocks": func(w world) {
 			for _, k := range []string{"pl/block/x", "pl/block/y"} {
 				w.state.keys[k] = stateKey{value: []byte(`{"m":{"vm-1":{}}}`), stamp: 1}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -142,7 +142,13 @@
 	for _, l := range lines[1:] {
 		switch l.word(0) {
 		case "type":
-			w.addType(l)
+			for i := range int(l.num("n", 1)) { // alike but for their names
+				t := *l
+				if t.words = []string{"type", l.word(1)}; i > 0 {
+					t.words[1] = fmt.Sprintf("%s-%02d", l.word(1), i)
+				}
+				w.addType(&t)
+			}
 		case "machine":
 			for _, t := range w.cloud.types {
 				for range int(l.num("n", 1)) {
@@ -357,6 +363,9 @@
 		}
 	case "resubmit":
 		if j := w.users.jobs[l.word(1)]; j != nil {
+			if len(l.set) > 0 { // with other words than the first time
+				j.body = w.users.parse(j.ref, l.set).body
+			}
 			w.users.submit(j)
 		}
 	case "cancel":
@@ -518,6 +527,9 @@
 		s.load(l.word(2))
 	case "limits": // from now on
 		s.txnOps, s.valueMax, s.writeRPS = int(l.num("ops", 4)), int(l.num("kb", 2)*1024), l.num("write_rps", 18)
+	case "delay": // transactions that set this key
+		s.delayed[l.word(2)] = l.secs("by", 60)
+		w.after(length, func() { delete(s.delayed, l.word(2)) })
 	case "slow":
 		s.slow = micros.FromSeconds(share)
 		w.after(length, func() { s.slow = 0 })
--- a/internal/scenario/state.go
+++ b/internal/scenario/state.go
@@ -57,13 +57,15 @@
 	writeRPS  float64 // 0: the pace is not enforced
 	writeLeft float64
 	writeAt   micros.Time
-	tooLarge  int              // requests refused for their size
-	loaded    *storage.Replica // of records that an earlier deployment left
+	tooLarge  int                    // requests refused for their size
+	delayed   map[string]micros.Time // transactions that set a key: carried out so much later, and not answered
+	largest   map[string]writeSize   // of the transactions carried out, by kind
+	loaded    *storage.Replica       // of records that an earlier deployment left
 }
 
 func newState(w *World) *stateService {
 	s := &stateService{w: w, keys: map[string]stateKey{}, keep: 10_000, permits: map[uint64]micros.Time{}, ttl: map[uint64]micros.Time{},
-		downFor: map[string]bool{}, txnOps: w.conf.Settings.State.TxnOps, valueMax: int(w.conf.Settings.State.ValueKB * 1024)}
+		downFor: map[string]bool{}, delayed: map[string]micros.Time{}, largest: map[string]writeSize{}, txnOps: w.conf.Settings.State.TxnOps, valueMax: int(w.conf.Settings.State.ValueKB * 1024)}
 	s.sweep()
 	return s
 }
@@ -248,6 +250,10 @@
 		s.permits[id] = s.w.now + s.ttl[id]
 		reply(200, encode(map[string]any{"permit": id}))
 	case r.Method == "POST" && u.Path == "/commit":
+		if by := s.delayOf(r.Body); by > 0 {
+			s.w.after(by, func() { s.commit(r.Body) })
+			return
+		}
 		switch x := s.w.rng.Float64(); {
 		case x < s.loseShare:
 			s.commit(r.Body)
@@ -287,19 +293,63 @@
 	reply(200, encode(map[string]any{"rows": rows, "has_next": more, "ledger": s.ledger}))
 }
 
-func (s *stateService) commit(body []byte) (int, []byte) {
-	var t struct {
-		If []struct {
-			Key   string `json:"key"`
-			Stamp uint64 `json:"stamp"`
-		} `json:"if"`
-		Writes []struct {
-			Set    string          `json:"set"`
-			V      json.RawMessage `json:"v"`
-			Permit uint64          `json:"permit"`
-			Delete string          `json:"delete"`
-		} `json:"writes"`
+// transaction is the body of a commit.
+type transaction struct {
+	If []struct {
+		Key   string `json:"key"`
+		Stamp uint64 `json:"stamp"`
+	} `json:"if"`
+	Writes []struct {
+		Set    string          `json:"set"`
+		V      json.RawMessage `json:"v"`
+		Permit uint64          `json:"permit"`
+		Delete string          `json:"delete"`
+	} `json:"writes"`
+}
+
+// delayOf is how much later a transaction is carried out, by the keys that it sets.
+func (s *stateService) delayOf(body []byte) micros.Time {
+	var t transaction
+	if len(s.delayed) == 0 || json.Unmarshal(body, &t) != nil {
+		return 0
 	}
+	by := micros.Time(0)
+	for _, x := range t.Writes {
+		by = max(by, s.delayed[x.Set])
+	}
+	return by
+}
+
+// writeSize is how large a transaction is in everything that the service limits.
+type writeSize struct{ operations, conditions, value, body int }
+
+// keyKind is the part of a key that says what its record is.
+func keyKind(key string) string {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(key, "pl/"), "/")
+	return kind
+}
+
+// measure notes the size of a transaction under what it sets and deletes.
+func (s *stateService) measure(t *transaction, body int) {
+	kinds := map[string]bool{}
+	size := writeSize{operations: len(t.Writes), conditions: len(t.If), body: body}
+	for _, x := range t.Writes {
+		if x.Delete != "" {
+			kinds["delete "+keyKind(x.Delete)] = true
+		} else {
+			kinds["set "+keyKind(x.Set)] = true
+		}
+		size.value = max(size.value, len(x.V))
+	}
+	for kind := range kinds {
+		had := s.largest[kind]
+		s.largest[kind] = writeSize{max(had.operations, size.operations), max(had.conditions, size.conditions),
+			max(had.value, size.value), max(had.body, size.body)}
+	}
+}
+
+func (s *stateService) commit(body []byte) (int, []byte) {
+	var t transaction
 	if json.Unmarshal(body, &t) != nil || len(t.Writes) > s.txnOps || len(t.If) > 4*s.txnOps || len(body) > 64<<10 {
 		s.tooLarge++
 		return 400, []byte(`{"error":"malformed"}`)
@@ -334,6 +384,7 @@
 	}
 	if len(t.Writes) > 0 {
 		s.ledger++
+		s.measure(&t, len(body))
 	}
 	for _, x := range t.Writes {
 		if x.Delete != "" {
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -272,12 +272,15 @@
 func (u *users) stranger(ref string) {
 	u.ask(nil, 2*micros.Second, func(id coordination.RequestID) coordination.Input {
 		return &coordination.Lookup{Request: id, ID: ref}
-	}, func(status int, _ []byte) {
-		u.strange++
-		if status == 200 && u.jobs[ref] == nil {
-			u.w.breakRule("invented", "%s: 200 for a job nobody submitted", ref)
-		}
-	})
+	}, func(status int, _ []byte) { u.strangerTold(ref, status) })
+}
+
+// strangerTold checks the answer to a question for a job that nobody submitted.
+func (u *users) strangerTold(ref string, status int) {
+	u.strange++
+	if status == 200 && u.jobs[ref] == nil {
+		u.w.breakRule("invented", "%s: 200 for a job nobody submitted", ref)
+	}
 }
 
 // hear holds what a user is told against what it was told before and the truth.
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -350,6 +350,7 @@
 	if e == nil {
 		e = &JobEntry{}
 		r.Jobs[id] = e
+		delete(r.missing, id)
 	}
 	e.Job, e.Version = &j, it.Version
 	if j.Phase != bookkeeping.Active {
--- a/internal/storage/waits.go
+++ b/internal/storage/waits.go
@@ -26,6 +26,7 @@
 type waits struct {
 	Needed  map[string]map[string]bool   // active jobs that name a job
 	Past    map[string]bookkeeping.Phase // of needed jobs that were moved away
+	missing map[string]bool              // needed jobs with neither a record nor an outcome known here
 	parts   map[string]map[int]waitPart  // by job and name
 	touched []string
 	types   map[string]Versioned[bookkeeping.Catalog]
@@ -37,7 +38,7 @@
 }
 
 func newWaits() waits {
-	return waits{Needed: map[string]map[string]bool{}, Past: map[string]bookkeeping.Phase{}, parts: map[string]map[int]waitPart{},
+	return waits{Needed: map[string]map[string]bool{}, Past: map[string]bookkeeping.Phase{}, missing: map[string]bool{}, parts: map[string]map[int]waitPart{},
 		types: map[string]Versioned[bookkeeping.Catalog]{}}
 }
 
@@ -75,6 +76,9 @@
 			r.Needed[w] = map[string]bool{}
 		}
 		r.Needed[w][id] = true
+		if r.Jobs[w] == nil && r.Past[w] == bookkeeping.Active {
+			r.missing[w] = true
+		}
 	}
 	for _, w := range e.Waits {
 		if r.isCancelled(w) {
@@ -91,6 +95,7 @@
 		if len(r.Needed[w]) == 0 {
 			delete(r.Needed, w)
 			delete(r.Past, w)
+			delete(r.missing, w)
 		}
 	}
 	e.Waits, e.Partial = nil, false
@@ -150,6 +155,7 @@
 		return
 	}
 	r.Past[id] = p
+	delete(r.missing, id)
 	r.tell(id, p == bookkeeping.Cancelled)
 }
 
@@ -174,6 +180,33 @@
 	return blocked, ""
 }
 
+// Unresolved lists the jobs before a job, directly or through others, of which nothing is
+// known here: their records were moved away. Until they are read nobody can tell whether
+// the job is cancelled with one of them.
+func (r *Replica) Unresolved(id string) []string {
+	if len(r.missing) == 0 {
+		return nil
+	}
+	var out []string
+	seen := map[string]bool{id: true}
+	for todo := []string{id}; len(todo) > 0; {
+		id, todo = todo[len(todo)-1], todo[:len(todo)-1]
+		if r.missing[id] {
+			out = append(out, id)
+		}
+		if e := r.Jobs[id]; e != nil && e.Job.Phase == bookkeeping.Active {
+			for _, needed := range e.Waits {
+				if !seen[needed] {
+					seen[needed] = true
+					todo = append(todo, needed)
+				}
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // applyWaitPart takes a part of a job's list of needed jobs. It is written before the
 // job's record; in a list it comes after.
 func (r *Replica) applyWaitPart(id string, it Item) (bool, error) {
@@ -218,13 +251,15 @@
 			continue
 		}
 		for n, p := range parts {
-			if p.version <= revision && len(out) < most {
+			if p.version <= revision {
 				out = append(out, r.Keys.WaitPart(job, name, n))
 			}
 		}
 	}
+	// The first part of a list goes before the others, or with them: a job's record that
+	// is carried out late requires it, so it can't refer to a list with a gap.
 	slices.Sort(out)
-	return out
+	return out[:min(most, len(out))]
 }
 
 // applyTypes takes a part of the catalog.
