--- a/internal/scenario/checks_test.go
+++ b/internal/scenario/checks_test.go
@@ -110,20 +110,33 @@
 	}
 }
 
-// TestProductionMessages reads what the version in production sent to its siblings.
-func TestProductionMessages(t *testing.T) {
-	d, err := readLeft("testdata/production/records.json")
-	if err != nil || len(d.Status) == 0 {
-		t.Fatalf("no messages: %v", err)
-	}
-	for i, raw := range d.Status {
-		s, err := protocol.DecodeStatus(raw)
-		if err != nil {
-			t.Errorf("message %d: %v", i, err)
-			continue
+// TestMessagesOfEarlierVersions reads what earlier versions sent to their siblings: the
+// fields that came later are absent from the messages of the one in production, and there,
+// as they were, in those of the first that serves pipelines.
+func TestMessagesOfEarlierVersions(t *testing.T) {
+	for version, want := range map[string]struct{ cancelled, heard bool }{
+		"production": {},
+		"pipelines":  {cancelled: true, heard: true},
+	} {
+		d, err := readLeft("testdata/" + version + "/records.json")
+		if err != nil || len(d.Status) == 0 {
+			t.Fatalf("%s: no messages: %v", version, err)
+		}
+		cancelled, heard := false, false
+		for i, raw := range d.Status {
+			s, err := protocol.DecodeStatus(raw)
+			if err != nil {
+				t.Errorf("%s: message %d: %v", version, i, err)
+				continue
+			}
+			if s.From.Member == "" || s.Revision == 0 || len(s.Cancelled) > 0 != (s.CancelledUpTo > 0) {
+				t.Errorf("%s: message %d: %+v", version, i, s)
+			}
+			cancelled = cancelled || len(s.Cancelled) > 0
+			heard = heard || len(s.CancelsHeard) > 0
 		}
-		if s.From.Member == "" || s.Revision == 0 || len(s.Cancelled) != 0 || s.CancelledUpTo != 0 || len(s.CancelsHeard) != 0 {
-			t.Errorf("message %d: %+v", i, s)
+		if cancelled != want.cancelled || heard != want.heard {
+			t.Errorf("%s: tells of cancellations: %v, of those heard: %v", version, cancelled, heard)
 		}
 	}
 }
