--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -46,8 +46,9 @@
 	catalogSaved micros.Time
 
 	budget     *storage.Budget
-	workerOut  int // direct calls to workers that are out
-	workerMost int // how many may be, for lack of sockets
+	rejected   rejections // transactions that the state service calls invalid
+	workerOut  int        // direct calls to workers that are out
+	workerMost int        // how many may be, for lack of sockets
 	session
 	barrier
 	holders   map[int]*holder
@@ -94,7 +95,7 @@
 		workerMost: max(1, cfg.Sockets().Calls/2), // the other half are idle connections
 		budget:     storage.NewBudget(cfg.Settings.StateLimits().RPS, cfg.Settings.StateLimits().WriteRPS, cfg.Settings.Nodes),
 		holders:    map[int]*holder{}, ends: map[storage.Process]micros.Time{},
-		peers: map[string]*peerView{}, cancelled: newCancellations(), archive: map[string]*storage.JobEntry{}, progress: map[string]JobProgress{},
+		rejected: rejections{}, peers: map[string]*peerView{}, cancelled: newCancellations(), archive: map[string]*storage.JobEntry{}, progress: map[string]JobProgress{},
 		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
 	}
 	c.session.replica = storage.NewReplica(keys)
@@ -170,10 +171,14 @@
 
 // callState sends a request to the state service if the budget allows.
 func (c *Core) callState(r *storage.Request, urgency storage.Urgency, timeout micros.Time, done func(*storage.Reply)) bool {
-	if !c.budget.Take(c.now, r.Writes(), urgency) {
+	if c.rejected.holdBack(r, c.now) || !c.budget.Take(c.now, r.Writes(), urgency) {
 		return false
 	}
-	id := c.call(func(v any) { done(v.(*storage.Reply)) })
+	id := c.call(func(v any) {
+		reply := v.(*storage.Reply)
+		c.rejected.note(r, reply.Outcome, c.now)
+		done(reply)
+	})
 	c.out.State = append(c.out.State, StateCall{id, r, timeout})
 	return true
 }
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -439,7 +439,7 @@
 	if !c.callState(r, storage.Patient, stateTimeout, func(r *storage.Reply) {
 		// Without a clear no, the move may still happen: the machine stays drained
 		// here until the stream tells.
-		if r.Outcome == storage.Conflict || r.Outcome == storage.Refused {
+		if r.Outcome == storage.Conflict || r.Outcome == storage.Refused || r.Outcome == storage.Rejected {
 			m.draining = ""
 		}
 	}) {
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -87,8 +87,8 @@
 				return out, nil
 			}
 		}
-		out.Outcome = storage.Refused
-		return out, fmt.Errorf("state: refused as malformed: %.200s", body)
+		out.Outcome = storage.Rejected
+		return out, fmt.Errorf("state: rejected as malformed or too large: %.200s", body)
 	default:
 		out.Outcome = storage.Lost
 		return out, fmt.Errorf("state: status %d", status)
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -80,6 +80,24 @@
 	return out
 }
 
+// parseLines reads a scenario, which begins with its cluster line.
+func parseLines(text string) ([]*line, error) {
+	var lines []*line
+	sc := bufio.NewScanner(strings.NewReader(text))
+	for no := 1; sc.Scan(); no++ {
+		if l := parseLine(no, sc.Text()); len(l.words) > 0 {
+			lines = append(lines, l)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return nil, err
+	}
+	if len(lines) == 0 || lines[0].word(0) != "cluster" {
+		return nil, fmt.Errorf("a scenario begins with a cluster line")
+	}
+	return lines, nil
+}
+
 // Result is what a scenario came to.
 type Result struct {
 	Broken []string // rules
@@ -92,19 +110,10 @@
 // expectations hold with each, but for amounts, which are a matter of luck from draw to
 // draw: there the median is held against the bound.
 func Play(text string, logf func(string, ...any)) (*Result, error) {
-	var lines []*line
-	sc := bufio.NewScanner(strings.NewReader(text))
-	for no := 1; sc.Scan(); no++ {
-		if l := parseLine(no, sc.Text()); len(l.words) > 0 {
-			lines = append(lines, l)
-		}
-	}
-	if err := sc.Err(); err != nil {
+	lines, err := parseLines(text)
+	if err != nil {
 		return nil, err
 	}
-	if len(lines) == 0 || lines[0].word(0) != "cluster" {
-		return nil, fmt.Errorf("a scenario begins with a cluster line")
-	}
 	first, seeds := uint64(lines[0].num("seed", 1)), int(lines[0].num("seeds", 1))
 	r := &Result{}
 	missed := map[*line][]string{}
--- a/internal/storage/request.go
+++ b/internal/storage/request.go
@@ -56,8 +56,9 @@
 // Outcome is what became of a request.
 type Outcome uint8
 
-// The outcomes. Refused was surely not executed; Lost may have been, or may
-// still be, executed.
+// The outcomes. Refused was surely not executed, and may be sent again; Rejected neither,
+// and would be rejected again as it is: the service calls it malformed or too large. Lost
+// may have been, or may still be, executed.
 const (
 	OK Outcome = iota
 	Conflict
@@ -65,6 +66,7 @@
 	Compacted
 	NoLease
 	Refused
+	Rejected
 	Lost
 )
 
