--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -98,32 +98,45 @@
 	then(n)
 }
 
-// acceptWaiting accepts a job that names others: as one that waits on those that are not
-// done yet, or as cancelled if one of them is.
+// acceptWaiting accepts a job that names others. Where all of them are in the replica it
+// need not be as new as the question: they were accepted, done and cancelled are final, and
+// what has become of them since makes the job wait, start or be cancelled all the same.
 func (c *Core) acceptWaiting(req RequestID, job *bookkeeping.Job) {
-	c.fresh(func(ok bool) {
-		if !ok {
-			c.unavailable(req, "the state service does not answer")
-			return
-		}
-		if c.replica.Format < storage.Format || c.olderRegistered() {
-			c.viewOr(req, job.ID, func() { c.unavailable(req, "an older version is still running") })
+	for _, ref := range job.WaitsOn {
+		if c.replica.Jobs[ref] == nil {
+			c.fresh(func(ok bool) {
+				if !ok {
+					c.unavailable(req, "the state service does not answer")
+					return
+				}
+				c.judgeWaiting(req, job)
+			})
 			return
 		}
-		if c.replica.Jobs[job.ID] != nil {
-			c.viewOr(req, job.ID, func() { c.unavailable(req, "try again") })
+	}
+	c.judgeWaiting(req, job)
+}
+
+// judgeWaiting accepts a job that names others as one that waits on those that are not done
+// yet, or as cancelled if one of them is, or says why it cannot be taken.
+func (c *Core) judgeWaiting(req RequestID, job *bookkeeping.Job) {
+	if c.replica.Format < storage.Format || c.olderRegistered() {
+		c.viewOr(req, job.ID, func() { c.unavailable(req, "an older version is still running") })
+		return
+	}
+	if c.replica.Jobs[job.ID] != nil {
+		c.viewOr(req, job.ID, func() { c.unavailable(req, "try again") })
+		return
+	}
+	c.checkNeeds(req, job, job.WaitsOn, needs{}, func(n needs) {
+		if n.cancelled {
+			over := job.Final(bookkeeping.Cancelled)
+			over.Submitted = c.wall
+			c.accept(req, over)
 			return
 		}
-		c.checkNeeds(req, job, job.WaitsOn, needs{}, func(n needs) {
-			if n.cancelled {
-				over := job.Final(bookkeeping.Cancelled)
-				over.Submitted = c.wall
-				c.accept(req, over)
-				return
-			}
-			job.WaitsOn = n.open
-			c.storeNeeds(req, job)
-		})
+		job.WaitsOn = n.open
+		c.storeNeeds(req, job)
 	})
 }
 
--- a/internal/scenario/meetings.go
+++ b/internal/scenario/meetings.go
@@ -29,6 +29,22 @@
 	return out
 }
 
+// cancelAskedBefore tells whether the user of a job before this one asked to cancel it. The
+// answer may still be on its way, or lost, when others already see what was committed.
+func (u *users) cancelAskedBefore(j *userJob, seen map[string]bool) bool {
+	for _, ref := range j.waitsOn {
+		n := u.jobs[ref]
+		if n == nil || seen[ref] {
+			continue
+		}
+		seen[ref] = true
+		if n.wantCancel || u.cancelAskedBefore(n, seen) {
+			return true
+		}
+	}
+	return false
+}
+
 // cancelledBefore is when a user was first told that a job before this one, directly or
 // through others, is cancelled; 0: nobody was.
 func (u *users) cancelledBefore(j *userJob, seen map[string]bool) micros.Time {
