--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -372,7 +372,7 @@
 		if m.draining == "silent" && (h.c.now < h.doubtUntil || h.zoneInDoubt(m.block.Zone)) && !m.expired {
 			continue
 		}
-		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || m.lost() || h.empty(m)) {
+		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || m.lost() || h.vacant(m)) {
 			s.Release = append(s.Release, m.id)
 		} else if h.usable(m) && h.empty(m) {
 			s.Idle = append(s.Idle, m.id)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -297,19 +297,32 @@
 	}
 }
 
-// empty tells whether nothing on the machine matters any more.
-func (h *holder) empty(m *machine) bool {
+// vacant tells whether a machine can be given back: nothing runs there, and no result is
+// kept there alone. A start without an answer may still be carried out late, but not after
+// the deletion, and before it the worker knows the attempt, so that it has no effect.
+func (h *holder) vacant(m *machine) bool {
 	if m.calling || len(m.outbox) > 0 {
 		return false
 	}
 	for _, a := range m.attempts {
-		if a.state != Exited || !a.stored || a.open+a.lost > 0 {
+		if a.state != Exited || !a.stored || a.open > 0 {
 			return false
 		}
 	}
 	return true
 }
 
+// empty tells whether nothing on the machine matters any more: it could serve another
+// queue, where nobody would know of a start that is carried out late.
+func (h *holder) empty(m *machine) bool {
+	for _, a := range m.attempts {
+		if a.lost > 0 {
+			return false
+		}
+	}
+	return h.vacant(m)
+}
+
 // lost tells whether the machine is given up for good: only its deletion, or the
 // end of its lease, is waited for.
 func (m *machine) lost() bool {
--- a/internal/coordination/surplus.go
+++ b/internal/coordination/surplus.go
@@ -174,7 +174,7 @@
 		if m.idle <= surplus {
 			keep = min(keep, surplusKeep)
 		}
-		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.empty(m) ||
+		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.vacant(m) ||
 			slices.ContainsFunc(h.needs, func(n fleet.Need) bool {
 				return n.Allows(fleet.Offer{Type: m.block.Type, Zone: m.block.Zone, Spot: m.block.Spot})
 			}) {
