--- a/internal/bookkeeping/taskset.go
+++ b/internal/bookkeeping/taskset.go
@@ -16,6 +16,7 @@
 	// PartTasks is the same for a part, which fits where a chunk does not: parts are
 	// numbered from FirstPart on, and both kinds may hold tasks of one job.
 	PartTasks = 256
+	// FirstPart is the number of the first part, above those of all chunks.
 	FirstPart = 1 << 20
 )
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -197,97 +197,121 @@
 	orDefault(&o.SparePercent, 15)
 }
 
-func (c *Config) check() []error {
-	var errs []error
-	bad := func(field, format string, args ...any) {
-		errs = append(errs, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+// checker collects what is wrong with settings, by field.
+type checker struct{ errs []error }
+
+func (k *checker) bad(field, format string, args ...any) {
+	k.errs = append(k.errs, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+}
+
+func (k *checker) address(field, v string) {
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		k.bad(field, "not an address with a port: %q", v)
 	}
-	address := func(field, v string) {
-		if _, _, err := net.SplitHostPort(v); err != nil {
-			bad(field, "not an address with a port: %q", v)
-		}
+}
+
+func (k *checker) positive(field string, v float64) {
+	if !(v > 0) {
+		k.bad(field, "must be above 0, is %v", v)
 	}
-	positive := func(field string, v float64) {
-		if !(v > 0) {
-			bad(field, "must be above 0, is %v", v)
-		}
+}
+
+func (k *checker) atLeast0(field string, v float64) {
+	if !(v >= 0) {
+		k.bad(field, "must not be negative, is %v", v)
 	}
-	atLeast0 := func(field string, v float64) {
-		if !(v >= 0) {
-			bad(field, "must not be negative, is %v", v)
-		}
+}
+
+func (c *Config) check() []error {
+	k := &checker{}
+	c.checkMember(k)
+	c.checkTeams(k)
+	s := &c.Settings
+	k.positive("settings.workers.report_s", s.Workers.ReportS)
+	k.positive("settings.workers.lease_s", s.Workers.LeaseS)
+	k.positive("settings.workers.cancel_s", s.Workers.CancelS)
+	s.checkState(k)
+	k.positive("settings.cloud.rps", s.Cloud.RPS)
+	k.atLeast0("settings.cloud.list_lag_s", s.Cloud.ListLagS)
+	k.positive("settings.machine_limits.memory_mb", s.MachineLimits.MemoryMB)
+	if need := c.ownSockets() + minServe; s.MachineLimits.MaxConnections < max(16, need) {
+		k.bad("settings.machine_limits.max_connections", "must be at least %d for the controllers themselves, is %d", max(16, need), s.MachineLimits.MaxConnections)
+	}
+	if s.Workers.LeaseS > 0 && s.Workers.CancelS > 0 && c.Term() <= 0 {
+		k.bad("settings.workers.cancel_s", "leaves no term beyond lease_s: %v", s.Workers.CancelS)
 	}
+	c.checkOperator(k)
+	return k.errs
+}
+
+func (c *Config) checkMember(k *checker) {
 	if c.Member == "" {
-		bad("member", "missing")
+		k.bad("member", "missing")
 	}
-	address("listen", c.Listen)
-	address("internal_addr", c.InternalAddr)
-	address("services.cloud", c.Services.Cloud)
-	address("services.state", c.Services.State)
+	k.address("listen", c.Listen)
+	k.address("internal_addr", c.InternalAddr)
+	k.address("services.cloud", c.Services.Cloud)
+	k.address("services.state", c.Services.State)
 	for i, s := range c.Siblings {
 		if s.Member == "" {
-			bad(fmt.Sprintf("siblings[%d].member", i), "missing")
+			k.bad(fmt.Sprintf("siblings[%d].member", i), "missing")
 		}
-		address(fmt.Sprintf("siblings[%d].address", i), s.Address)
+		k.address(fmt.Sprintf("siblings[%d].address", i), s.Address)
 	}
+}
+
+func (c *Config) checkTeams(k *checker) {
 	s := &c.Settings
 	if s.Nodes < 1 {
-		bad("settings.nodes", "must be at least 1, is %d", s.Nodes)
+		k.bad("settings.nodes", "must be at least 1, is %d", s.Nodes)
 	}
 	if len(s.Teams) == 0 {
-		bad("settings.teams", "missing")
+		k.bad("settings.teams", "missing")
 	}
 	names := map[string]bool{}
 	for i, t := range s.Teams {
 		f := fmt.Sprintf("settings.teams[%d].", i)
 		if t.Name == "" || names[t.Name] {
-			bad(f+"name", "missing or given twice: %q", t.Name)
+			k.bad(f+"name", "missing or given twice: %q", t.Name)
 		}
 		names[t.Name] = true
-		atLeast0(f+"cpus", t.CPUs)
-		atLeast0(f+"cpus_max", t.CPUsMax)
-		atLeast0(f+"gpus", t.GPUs)
-		atLeast0(f+"gpus_max", t.GPUsMax)
+		k.atLeast0(f+"cpus", t.CPUs)
+		k.atLeast0(f+"cpus_max", t.CPUsMax)
+		k.atLeast0(f+"gpus", t.GPUs)
+		k.atLeast0(f+"gpus_max", t.GPUsMax)
 	}
-	positive("settings.workers.report_s", s.Workers.ReportS)
-	positive("settings.workers.lease_s", s.Workers.LeaseS)
-	positive("settings.workers.cancel_s", s.Workers.CancelS)
-	positive("settings.state.rps", s.State.RPS)
-	positive("settings.state.write_rps", s.State.WriteRPS)
-	positive("settings.state.value_kb", s.State.ValueKB)
+}
+
+func (s *Settings) checkState(k *checker) {
+	k.positive("settings.state.rps", s.State.RPS)
+	k.positive("settings.state.write_rps", s.State.WriteRPS)
+	k.positive("settings.state.value_kb", s.State.ValueKB)
 	if n := s.State.Next; n != nil {
-		atLeast0("settings.state.next.rps", n.RPS)
-		atLeast0("settings.state.next.write_rps", n.WriteRPS)
-		atLeast0("settings.state.next.value_kb", n.ValueKB)
+		k.atLeast0("settings.state.next.rps", n.RPS)
+		k.atLeast0("settings.state.next.write_rps", n.WriteRPS)
+		k.atLeast0("settings.state.next.value_kb", n.ValueKB)
 		if n.TxnOps != 0 && n.TxnOps < 4 {
-			bad("settings.state.next.txn_ops", "must be at least 4, is %d", n.TxnOps)
+			k.bad("settings.state.next.txn_ops", "must be at least 4, is %d", n.TxnOps)
 		}
 	}
 	if v := s.MaxValue(); s.State.ValueKB > 0 && v < minValue {
-		bad("settings.state.value_kb", "must leave %d bytes for a value, also in state.next, leaves %d", minValue, v)
+		k.bad("settings.state.value_kb", "must leave %d bytes for a value, also in state.next, leaves %d", minValue, v)
 	}
 	if s.State.TxnOps < 4 {
-		bad("settings.state.txn_ops", "must be at least 4, is %d", s.State.TxnOps)
-	}
-	positive("settings.cloud.rps", s.Cloud.RPS)
-	atLeast0("settings.cloud.list_lag_s", s.Cloud.ListLagS)
-	positive("settings.machine_limits.memory_mb", s.MachineLimits.MemoryMB)
-	if need := c.ownSockets() + minServe; s.MachineLimits.MaxConnections < max(16, need) {
-		bad("settings.machine_limits.max_connections", "must be at least %d for the controllers themselves, is %d", max(16, need), s.MachineLimits.MaxConnections)
-	}
-	if s.Workers.LeaseS > 0 && s.Workers.CancelS > 0 && c.Term() <= 0 {
-		bad("settings.workers.cancel_s", "leaves no term beyond lease_s: %v", s.Workers.CancelS)
+		k.bad("settings.state.txn_ops", "must be at least 4, is %d", s.State.TxnOps)
 	}
+}
+
+func (c *Config) checkOperator(k *checker) {
 	if c.Operator.PermitMs < 500 || c.Operator.PermitMs > 600_000 {
-		bad("operator.permit_ms", "must be 500 to 600000, is %d", c.Operator.PermitMs)
+		k.bad("operator.permit_ms", "must be 500 to 600000, is %d", c.Operator.PermitMs)
 	}
 	if c.Operator.MemoryPercent > 100 {
-		bad("operator.memory_percent", "must be at most 100, is %d", c.Operator.MemoryPercent)
+		k.bad("operator.memory_percent", "must be at most 100, is %d", c.Operator.MemoryPercent)
 	}
 	if strings.ContainsAny(c.Operator.KeyPrefix, " \t\n") || len(c.Operator.KeyPrefix) > 60 {
-		bad("operator.key_prefix", "must be at most 60 bytes without spaces")
+		k.bad("operator.key_prefix", "must be at most 60 bytes without spaces")
 	}
-	return errs
 }
 
 // minValue is the least that a value must be able to hold: a job with every field but its
--- a/internal/coordination/plan/place.go
+++ b/internal/coordination/plan/place.go
@@ -157,7 +157,11 @@
 	return better(h.job, h.pack, &h.list[h.order[i]], &h.list[h.order[j]])
 }
 func (h *candidates) Swap(i, j int) { h.order[i], h.order[j] = h.order[j], h.order[i] }
-func (h *candidates) Push(x any)    { h.order = append(h.order, x.(int32)) }
+
+// Push is part of heap.Interface.
+func (h *candidates) Push(x any) { h.order = append(h.order, x.(int32)) }
+
+// Pop is part of heap.Interface.
 func (h *candidates) Pop() any {
 	last := len(h.order) - 1
 	x := h.order[last]
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -77,60 +77,80 @@
 		return lost, fmt.Errorf("cloud: status %d", status)
 	}
 	out := &coordination.CloudReply{Outcome: coordination.CloudOK}
+	var err error
 	switch kind {
 	case coordination.CloudCatalog:
-		var c struct {
-			Hulls []hull `json:"hulls"`
-		}
-		if err := json.Unmarshal(body, &c); err != nil {
-			return lost, fmt.Errorf("cloud: catalog: %w", err)
-		}
-		out.Catalog = bookkeeping.Catalog{}
-		for _, h := range c.Hulls {
-			if h.SKU == "" || h.Cores <= 0 || h.RAMGB < 0 || h.BootS < 0 || h.Hourly < 0 {
-				return lost, fmt.Errorf("cloud: catalog: bad type %q", h.SKU)
-			}
-			out.Catalog[h.SKU] = &bookkeeping.MachineType{Name: h.SKU, CacheGB: h.CacheGB, FetchGBps: h.FetchGBps,
-				Capacity: bookkeeping.Resources{CPU: bookkeeping.Milli(h.Cores), GPU: bookkeeping.Milli(h.GPUs), Mem: bookkeeping.Milli(h.RAMGB)},
-				Price:    h.Hourly, SpotPrice: h.SpotHourly, Boot: micros.FromSeconds(h.BootS), Zones: h.Berths}
-		}
+		out.Catalog, err = decodeCatalog(body)
 	case coordination.CloudRent:
-		var h struct {
-			Hosts []string `json:"hosts"`
-		}
-		if err := json.Unmarshal(body, &h); err != nil {
-			return lost, fmt.Errorf("cloud: rental: %w", err)
-		}
-		for _, name := range h.Hosts {
-			if name == "" || len(name) > 150 {
-				return lost, fmt.Errorf("cloud: rental: bad machine name %q", name)
-			}
-		}
-		out.Names = h.Hosts
+		out.Names, err = decodeRental(body)
 	case coordination.CloudList:
-		var l struct {
-			Hosts []struct {
-				Ref      string  `json:"ref"`
-				Endpoint string  `json:"endpoint"`
-				Hull     string  `json:"hull"`
-				Berth    string  `json:"berth"`
-				Loaners  bool    `json:"loaners"`
-				Phase    string  `json:"phase"`
-				HeldS    float64 `json:"held_s"`
-			} `json:"hosts"`
-			HasNext bool `json:"has_next"`
+		out.Listed, out.More, err = decodeMachines(body)
+	}
+	if err != nil {
+		return lost, fmt.Errorf("cloud: %w", err)
+	}
+	return out, nil
+}
+
+// maxMachineName bounds a machine's name, which is part of keys.
+const maxMachineName = 150
+
+func decodeCatalog(body []byte) (bookkeeping.Catalog, error) {
+	var c struct {
+		Hulls []hull `json:"hulls"`
+	}
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, fmt.Errorf("catalog: %w", err)
+	}
+	catalog := bookkeeping.Catalog{}
+	for _, h := range c.Hulls {
+		if h.SKU == "" || h.Cores <= 0 || h.RAMGB < 0 || h.BootS < 0 || h.Hourly < 0 {
+			return nil, fmt.Errorf("catalog: bad type %q", h.SKU)
 		}
-		if err := json.Unmarshal(body, &l); err != nil {
-			return lost, fmt.Errorf("cloud: list: %w", err)
+		catalog[h.SKU] = &bookkeeping.MachineType{Name: h.SKU, CacheGB: h.CacheGB, FetchGBps: h.FetchGBps,
+			Capacity: bookkeeping.Resources{CPU: bookkeeping.Milli(h.Cores), GPU: bookkeeping.Milli(h.GPUs), Mem: bookkeeping.Milli(h.RAMGB)},
+			Price:    h.Hourly, SpotPrice: h.SpotHourly, Boot: micros.FromSeconds(h.BootS), Zones: h.Berths}
+	}
+	return catalog, nil
+}
+
+func decodeRental(body []byte) ([]string, error) {
+	var h struct {
+		Hosts []string `json:"hosts"`
+	}
+	if err := json.Unmarshal(body, &h); err != nil {
+		return nil, fmt.Errorf("rental: %w", err)
+	}
+	for _, name := range h.Hosts {
+		if name == "" || len(name) > maxMachineName {
+			return nil, fmt.Errorf("rental: bad machine name %q", name)
 		}
-		out.More = l.HasNext
-		for _, h := range l.Hosts {
-			if h.Ref == "" || len(h.Ref) > 150 {
-				continue
-			}
-			out.Listed = append(out.Listed, coordination.Listed{Machine: h.Ref, Address: h.Endpoint, Type: h.Hull, Zone: h.Berth,
-				Spot: h.Loaners, Running: h.Phase == "running", Failed: h.Phase == "failed", Age: micros.FromSeconds(h.HeldS)})
+	}
+	return h.Hosts, nil
+}
+
+func decodeMachines(body []byte) (machines []coordination.Listed, more bool, err error) {
+	var l struct {
+		Hosts []struct {
+			Ref      string  `json:"ref"`
+			Endpoint string  `json:"endpoint"`
+			Hull     string  `json:"hull"`
+			Berth    string  `json:"berth"`
+			Loaners  bool    `json:"loaners"`
+			Phase    string  `json:"phase"`
+			HeldS    float64 `json:"held_s"`
+		} `json:"hosts"`
+		HasNext bool `json:"has_next"`
+	}
+	if err := json.Unmarshal(body, &l); err != nil {
+		return nil, false, fmt.Errorf("list: %w", err)
+	}
+	for _, h := range l.Hosts {
+		if h.Ref == "" || len(h.Ref) > maxMachineName {
+			continue
 		}
+		machines = append(machines, coordination.Listed{Machine: h.Ref, Address: h.Endpoint, Type: h.Hull, Zone: h.Berth,
+			Spot: h.Loaners, Running: h.Phase == "running", Failed: h.Phase == "failed", Age: micros.FromSeconds(h.HeldS)})
 	}
-	return out, nil
+	return machines, l.HasNext, nil
 }
--- a/internal/protocol/siblings.go
+++ b/internal/protocol/siblings.go
@@ -36,43 +36,81 @@
 // EncodeStatus writes a message to a sibling.
 func EncodeStatus(s *coordination.Status) []byte {
 	b := flatbuffers.NewBuilder(1024)
-	var queues, shifts, progress []flatbuffers.UOffsetT
-	for _, q := range s.Queues {
-		var needs []flatbuffers.UOffsetT
-		for _, n := range q.Needs {
-			types, zone := strings(b, n.Types), b.CreateString(n.Zone)
-			wire.NeedStart(b)
-			wire.NeedAddCpu(b, n.Each.CPU)
-			wire.NeedAddGpu(b, n.Each.GPU)
-			wire.NeedAddMem(b, n.Each.Mem)
-			wire.NeedAddCount(b, int32(n.Count))
-			wire.NeedAddSpot(b, n.Spot)
-			wire.NeedAddTypes(b, types)
-			wire.NeedAddZone(b, zone)
-			wire.NeedAddService(b, n.Service)
-			wire.NeedAddHold(b, n.Hold)
-			wire.NeedAddReplicas(b, int32(n.Replicas))
-			wire.NeedAddUrgent(b, n.Urgent)
-			needs = append(needs, wire.NeedEnd(b))
-		}
-		nv, release, idle, lost := vector(b, needs), strings(b, q.Release), strings(b, q.Idle), strings(b, q.Lost)
+	queues, shifts, progress := encodeQueues(b, s.Queues), encodeShifts(b, s.Shifts), encodeProgress(b, s.Progress)
+	reach, heard := encodeReach(b, s.Reach), encodeCancelsHeard(b, s.CancelsHeard)
+	cancelled, gone := strings(b, s.Cancelled), strings(b, s.Gone)
+	member, incarnation := b.CreateString(s.From.Member), b.CreateString(s.From.Incarnation)
+	wire.StatusStart(b)
+	wire.StatusAddMember(b, member)
+	wire.StatusAddIncarnation(b, incarnation)
+	wire.StatusAddRevision(b, s.Revision)
+	wire.StatusAddStateOk(b, s.StateOK)
+	wire.StatusAddQueues(b, queues)
+	wire.StatusAddGone(b, gone)
+	wire.StatusAddShifts(b, shifts)
+	wire.StatusAddProgress(b, progress)
+	wire.StatusAddRequests(b, s.Used.Requests)
+	wire.StatusAddWrites(b, s.Used.Writes)
+	wire.StatusAddReach(b, reach)
+	wire.StatusAddCancelled(b, cancelled)
+	wire.StatusAddCancelledUpTo(b, s.CancelledUpTo)
+	wire.StatusAddCancelsHeard(b, heard)
+	b.Finish(wire.StatusEnd(b))
+	return b.FinishedBytes()
+}
+
+func encodeQueues(b *flatbuffers.Builder, list []coordination.QueueStatus) flatbuffers.UOffsetT {
+	var queues []flatbuffers.UOffsetT
+	for _, q := range list {
+		needs, release, idle, lost := encodeNeeds(b, q.Needs), strings(b, q.Release), strings(b, q.Idle), strings(b, q.Lost)
 		wire.QueueStatusStart(b)
 		wire.QueueStatusAddQueue(b, int32(q.Queue))
 		wire.QueueStatusAddToken(b, q.Token)
-		wire.QueueStatusAddNeeds(b, nv)
+		wire.QueueStatusAddNeeds(b, needs)
 		wire.QueueStatusAddRelease(b, release)
 		wire.QueueStatusAddIdle(b, idle)
 		wire.QueueStatusAddLost(b, lost)
 		queues = append(queues, wire.QueueStatusEnd(b))
 	}
-	for _, sh := range s.Shifts {
+	return vector(b, queues)
+}
+
+func encodeNeeds(b *flatbuffers.Builder, list []fleet.Need) flatbuffers.UOffsetT {
+	var needs []flatbuffers.UOffsetT
+	for _, n := range list {
+		types, zone := strings(b, n.Types), b.CreateString(n.Zone)
+		wire.NeedStart(b)
+		wire.NeedAddCpu(b, n.Each.CPU)
+		wire.NeedAddGpu(b, n.Each.GPU)
+		wire.NeedAddMem(b, n.Each.Mem)
+		wire.NeedAddCount(b, int32(n.Count))
+		wire.NeedAddSpot(b, n.Spot)
+		wire.NeedAddTypes(b, types)
+		wire.NeedAddZone(b, zone)
+		wire.NeedAddService(b, n.Service)
+		wire.NeedAddHold(b, n.Hold)
+		wire.NeedAddReplicas(b, int32(n.Replicas))
+		wire.NeedAddUrgent(b, n.Urgent)
+		needs = append(needs, wire.NeedEnd(b))
+	}
+	return vector(b, needs)
+}
+
+func encodeShifts(b *flatbuffers.Builder, list []coordination.Shift) flatbuffers.UOffsetT {
+	var shifts []flatbuffers.UOffsetT
+	for _, sh := range list {
 		m := b.CreateString(sh.Machine)
 		wire.ShiftStart(b)
 		wire.ShiftAddMachine(b, m)
 		wire.ShiftAddTo(b, int32(sh.To))
 		shifts = append(shifts, wire.ShiftEnd(b))
 	}
-	for _, p := range s.Progress {
+	return vector(b, shifts)
+}
+
+func encodeProgress(b *flatbuffers.Builder, list []coordination.JobProgress) flatbuffers.UOffsetT {
+	var progress []flatbuffers.UOffsetT
+	for _, p := range list {
 		id := b.CreateString(p.ID)
 		wire.ProgressStart(b)
 		wire.ProgressAddJob(b, id)
@@ -80,8 +118,12 @@
 		wire.ProgressAddRunning(b, int32(p.Running))
 		progress = append(progress, wire.ProgressEnd(b))
 	}
+	return vector(b, progress)
+}
+
+func encodeReach(b *flatbuffers.Builder, list []coordination.ZoneReach) flatbuffers.UOffsetT {
 	var reach []flatbuffers.UOffsetT
-	for _, z := range s.Reach {
+	for _, z := range list {
 		zone := b.CreateString(z.Zone)
 		wire.ZoneReachStart(b)
 		wire.ZoneReachAddQueue(b, int32(z.Queue))
@@ -90,35 +132,20 @@
 		wire.ZoneReachAddAnswered(b, int32(z.Answered))
 		reach = append(reach, wire.ZoneReachEnd(b))
 	}
+	return vector(b, reach)
+}
+
+func encodeCancelsHeard(b *flatbuffers.Builder, list []coordination.CancelsHeard) flatbuffers.UOffsetT {
 	var heard []flatbuffers.UOffsetT
-	for _, h := range s.CancelsHeard {
-		member, inc := b.CreateString(h.From.Member), b.CreateString(h.From.Incarnation)
+	for _, h := range list {
+		member, incarnation := b.CreateString(h.From.Member), b.CreateString(h.From.Incarnation)
 		wire.CancelsHeardStart(b)
 		wire.CancelsHeardAddMember(b, member)
-		wire.CancelsHeardAddIncarnation(b, inc)
+		wire.CancelsHeardAddIncarnation(b, incarnation)
 		wire.CancelsHeardAddUpTo(b, h.UpTo)
 		heard = append(heard, wire.CancelsHeardEnd(b))
 	}
-	rv, cv, hv := vector(b, reach), strings(b, s.Cancelled), vector(b, heard)
-	qv, gone, sv, pv := vector(b, queues), strings(b, s.Gone), vector(b, shifts), vector(b, progress)
-	member, inc := b.CreateString(s.From.Member), b.CreateString(s.From.Incarnation)
-	wire.StatusStart(b)
-	wire.StatusAddMember(b, member)
-	wire.StatusAddIncarnation(b, inc)
-	wire.StatusAddRevision(b, s.Revision)
-	wire.StatusAddStateOk(b, s.StateOK)
-	wire.StatusAddQueues(b, qv)
-	wire.StatusAddGone(b, gone)
-	wire.StatusAddShifts(b, sv)
-	wire.StatusAddProgress(b, pv)
-	wire.StatusAddRequests(b, s.Used.Requests)
-	wire.StatusAddWrites(b, s.Used.Writes)
-	wire.StatusAddReach(b, rv)
-	wire.StatusAddCancelled(b, cv)
-	wire.StatusAddCancelledUpTo(b, s.CancelledUpTo)
-	wire.StatusAddCancelsHeard(b, hv)
-	b.Finish(wire.StatusEnd(b))
-	return b.FinishedBytes()
+	return vector(b, heard)
 }
 
 func stringList(n int, at func(int) []byte) []string {
@@ -159,16 +186,7 @@
 	for i := range w.QueuesLength() {
 		var q wire.QueueStatus
 		w.Queues(&q, i)
-		out := coordination.QueueStatus{Queue: int(q.Queue()), Token: q.Token(),
-			Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle), Lost: stringList(q.LostLength(), q.Lost)}
-		for k := range q.NeedsLength() {
-			var n wire.Need
-			q.Needs(&n, k)
-			out.Needs = append(out.Needs, fleet.Need{Each: bookkeeping.Resources{CPU: n.Cpu(), GPU: n.Gpu(), Mem: n.Mem()},
-				Count: int(n.Count()), Spot: n.Spot(), Types: stringList(n.TypesLength(), n.Types), Zone: string(n.Zone()),
-				Service: n.Service(), Hold: n.Hold(), Replicas: int(n.Replicas()), Urgent: n.Urgent()})
-		}
-		s.Queues = append(s.Queues, out)
+		s.Queues = append(s.Queues, decodeQueue(&q))
 	}
 	for i := range w.ShiftsLength() {
 		var sh wire.Shift
@@ -185,3 +203,16 @@
 	}
 	return s, nil
 }
+
+func decodeQueue(q *wire.QueueStatus) coordination.QueueStatus {
+	out := coordination.QueueStatus{Queue: int(q.Queue()), Token: q.Token(),
+		Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle), Lost: stringList(q.LostLength(), q.Lost)}
+	for k := range q.NeedsLength() {
+		var n wire.Need
+		q.Needs(&n, k)
+		out.Needs = append(out.Needs, fleet.Need{Each: bookkeeping.Resources{CPU: n.Cpu(), GPU: n.Gpu(), Mem: n.Mem()},
+			Count: int(n.Count()), Spot: n.Spot(), Types: stringList(n.TypesLength(), n.Types), Zone: string(n.Zone()),
+			Service: n.Service(), Hold: n.Hold(), Replicas: int(n.Replicas()), Urgent: n.Urgent()})
+	}
+	return out
+}
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -60,58 +60,38 @@
 	return HTTPRequest{"POST", "/commit", mustJSON(c)}
 }
 
+// stateBody is what the state service answers, whatever the request.
+type stateBody struct {
+	Key    string          `json:"key"`
+	V      json.RawMessage `json:"v"`
+	Stamp  uint64          `json:"stamp"`
+	Permit uint64          `json:"permit"`
+	Ledger uint64          `json:"ledger"`
+	Rows   []struct {
+		Key   string          `json:"key"`
+		V     json.RawMessage `json:"v"`
+		Stamp uint64          `json:"stamp"`
+	} `json:"rows"`
+	HasNext bool `json:"has_next"`
+	Log     []struct {
+		Set    string          `json:"set"`
+		V      json.RawMessage `json:"v"`
+		Delete string          `json:"delete"`
+		Stamp  uint64          `json:"stamp"`
+	} `json:"log"`
+}
+
 // DecodeState reads the state service's answer. One that cannot be read counts
 // as lost.
 func DecodeState(kind storage.Kind, status int, body []byte) (*storage.Reply, error) {
-	out := &storage.Reply{}
-	switch status {
-	case 200, 201, 204:
-		out.Outcome = storage.OK
-	case 404:
-		out.Outcome = storage.NotFound
-	case 409:
-		out.Outcome = storage.Conflict
-	case 410:
-		out.Outcome = storage.Compacted
-		return out, nil
-	case 429, 503:
-		out.Outcome = storage.Refused
-		return out, nil
-	case 400:
-		if kind == storage.Commit || kind == storage.Touch {
-			var e struct {
-				Error string `json:"error"`
-			}
-			if json.Unmarshal(body, &e) == nil && e.Error == "no such lease" {
-				out.Outcome = storage.NoLease
-				return out, nil
-			}
-		}
-		out.Outcome = storage.Rejected
-		return out, fmt.Errorf("state: rejected as malformed or too large: %.200s", body)
+	outcome, err := stateOutcome(kind, status, body)
+	out := &storage.Reply{Outcome: outcome}
+	switch outcome {
+	case storage.OK, storage.NotFound, storage.Conflict:
 	default:
-		out.Outcome = storage.Lost
-		return out, fmt.Errorf("state: status %d", status)
-	}
-	var b struct {
-		Key    string          `json:"key"`
-		V      json.RawMessage `json:"v"`
-		Stamp  uint64          `json:"stamp"`
-		Permit uint64          `json:"permit"`
-		Ledger uint64          `json:"ledger"`
-		Rows   []struct {
-			Key   string          `json:"key"`
-			V     json.RawMessage `json:"v"`
-			Stamp uint64          `json:"stamp"`
-		} `json:"rows"`
-		HasNext bool `json:"has_next"`
-		Log     []struct {
-			Set    string          `json:"set"`
-			V      json.RawMessage `json:"v"`
-			Delete string          `json:"delete"`
-			Stamp  uint64          `json:"stamp"`
-		} `json:"log"`
+		return out, err // the rest of the answer says nothing
 	}
+	var b stateBody
 	if len(body) > 0 {
 		if err := json.Unmarshal(body, &b); err != nil {
 			out.Outcome = storage.Lost
@@ -129,13 +109,7 @@
 			out.Items = append(out.Items, storage.Item{Key: r.Key, Value: r.V, Version: r.Stamp})
 		}
 	case storage.Watch:
-		for _, e := range b.Log {
-			it := storage.Item{Key: e.Set, Value: e.V, Version: e.Stamp}
-			if e.Delete != "" {
-				it = storage.Item{Key: e.Delete, Version: e.Stamp, Deleted: true}
-			}
-			out.Items = append(out.Items, it)
-		}
+		out.Items = b.changes()
 		if out.Revision == 0 {
 			out.Outcome = storage.Lost
 			return out, fmt.Errorf("state: changes without a revision")
@@ -143,3 +117,40 @@
 	}
 	return out, nil
 }
+
+// stateOutcome is what a status means.
+func stateOutcome(kind storage.Kind, status int, body []byte) (storage.Outcome, error) {
+	switch status {
+	case 200, 201, 204:
+		return storage.OK, nil
+	case 404:
+		return storage.NotFound, nil
+	case 409:
+		return storage.Conflict, nil
+	case 410:
+		return storage.Compacted, nil
+	case 429, 503:
+		return storage.Refused, nil
+	case 400:
+		var e struct {
+			Error string `json:"error"`
+		}
+		if (kind == storage.Commit || kind == storage.Touch) && json.Unmarshal(body, &e) == nil && e.Error == "no such lease" {
+			return storage.NoLease, nil
+		}
+		return storage.Rejected, fmt.Errorf("state: rejected as malformed or too large: %.200s", body)
+	}
+	return storage.Lost, fmt.Errorf("state: status %d", status)
+}
+
+func (b *stateBody) changes() []storage.Item {
+	var items []storage.Item
+	for _, e := range b.Log {
+		it := storage.Item{Key: e.Set, Value: e.V, Version: e.Stamp}
+		if e.Delete != "" {
+			it = storage.Item{Key: e.Delete, Version: e.Stamp, Deleted: true}
+		}
+		items = append(items, it)
+	}
+	return items
+}
--- a/internal/scenario/checks_test.go
+++ b/internal/scenario/checks_test.go
@@ -33,7 +33,7 @@
 		w.users.order = append(w.users.order, ref)
 		return j
 	}
-	for rule, break_ := range map[string]func(w world){
+	for rule, provoke := range map[string]func(w world){
 		"ran_twice": func(w world) {
 			task(w, w.a, 0)
 			w.users.started(w.b, task(w, w.b, 0), 0)
@@ -99,7 +99,7 @@
 			w := world{World: base, a: base.cloud.add(base.cloud.types[0], "a", false, true), b: base.cloud.add(base.cloud.types[0], "a", false, true)}
 			w.run(micros.Second)
 			w.j = other(w, "wk-000001", map[string]string{"tasks": "3", "cores": "4"})
-			break_(w)
+			provoke(w)
 			for _, b := range w.broken {
 				if strings.Contains(b, " "+rule+":") {
 					return
--- a/internal/scenario/meetings.go
+++ b/internal/scenario/meetings.go
@@ -94,9 +94,9 @@
 }
 
 // askNode asks one node, whatever the balancer thinks.
-func (u *users) askNode(n *node, make func(coordination.RequestID) coordination.Input, then func(coordination.Answer)) {
+func (u *users) askNode(n *node, input func(coordination.RequestID) coordination.Input, then func(coordination.Answer)) {
 	u.w.send("users", n.name, func() {
-		n.ask(make, func(a coordination.Answer) { u.w.send(n.name, "users", func() { then(a) }) })
+		n.ask(input, func(a coordination.Answer) { u.w.send(n.name, "users", func() { then(a) }) })
 	})
 }
 
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -123,7 +123,7 @@
 		if err != nil {
 			return nil, err
 		}
-		r.Broken, r.Starts = append(r.Broken, w.broken...), r.Starts+w.users.started_
+		r.Broken, r.Starts = append(r.Broken, w.broken...), r.Starts+w.users.startCount
 		for _, l := range expects {
 			if why := w.expect(l); why != "" {
 				missed[l] = append(missed[l], fmt.Sprintf("seed %d: %s", first+uint64(i), why))
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -56,12 +56,12 @@
 
 // users submit, poll and cancel, and hold every answer against the rules.
 type users struct {
-	w        *World
-	jobs     map[string]*userJob
-	order    []string
-	strange  int // polls for jobs that nobody submitted
-	balance  []*balancer
-	started_ int
+	w          *World
+	jobs       map[string]*userJob
+	order      []string
+	strange    int // polls for jobs that nobody submitted
+	balance    []*balancer
+	startCount int
 
 	cancelShare float64 // of jobs that end, cancelled at that moment
 	cancelUntil micros.Time
@@ -148,7 +148,7 @@
 
 // ask sends a request on the job's connection and calls then with the status; 0:
 // none.
-func (u *users) ask(j *userJob, patience micros.Time, make func(coordination.RequestID) coordination.Input, then func(status int, body []byte)) {
+func (u *users) ask(j *userJob, patience micros.Time, input func(coordination.RequestID) coordination.Input, then func(status int, body []byte)) {
 	w := u.w
 	b := u.connect(j)
 	if b == nil {
@@ -168,7 +168,7 @@
 	}
 	w.after(patience, func() { end(0, nil) })
 	w.send("users", n.name, func() {
-		n.ask(make, func(a coordination.Answer) {
+		n.ask(input, func(a coordination.Answer) {
 			status, body := 503, []byte(nil)
 			switch a.Kind {
 			case coordination.Accepted:
@@ -325,7 +325,7 @@
 
 // started checks the rules for a start.
 func (u *users) started(m *machine, t *workerTask, n int) {
-	u.started_++
+	u.startCount++
 	j := t.job
 	j.starts++
 	if j.firstStart == 0 {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -25,12 +25,17 @@
 
 type events []*event
 
+// Len is part of heap.Interface, like the methods that follow.
 func (e events) Len() int { return len(e) }
 func (e events) Less(i, j int) bool {
 	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
 }
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+
+// Push is part of heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(*event)) }
+
+// Pop is part of heap.Interface.
 func (e *events) Pop() any {
 	old := *e
 	x := old[len(old)-1]
@@ -332,13 +337,13 @@
 }
 
 // ask hands a request in and calls then with the answer.
-func (n *node) ask(make func(coordination.RequestID) coordination.Input, then func(coordination.Answer)) {
+func (n *node) ask(input func(coordination.RequestID) coordination.Input, then func(coordination.Answer)) {
 	if n.core == nil {
 		return
 	}
 	n.nextReq++
 	n.waiting[n.nextReq] = then
-	n.step(make(n.nextReq))
+	n.step(input(n.nextReq))
 }
 
 func (w *World) node(name string) *node {
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -97,17 +97,43 @@
 // Keys builds the keys below a prefix.
 type Keys struct{ Prefix string }
 
-// The keys.
-func (k Keys) Leader() string             { return k.Prefix + "leader" }
-func (k Keys) Barrier() string            { return k.Prefix + "barrier" } // never exists
-func (k Keys) Catalog() string            { return k.Prefix + "catalog" }
-func (k Keys) Node(m string) string       { return k.Prefix + "node/" + m }
-func (k Keys) Queue(n int) string         { return k.Prefix + "queue/" + strconv.Itoa(n) }
-func (k Keys) Block(name string) string   { return k.Prefix + "block/" + name }
-func (k Keys) Job(id string) string       { return k.Prefix + "job/" + id }
-func (k Keys) Archive(id string) string   { return k.ArchivePrefix() + id }
-func (k Keys) ArchivePrefix() string      { return k.Prefix + "~over/" } // sorts last: a list ends there
+// Leader is the key of the leader's process.
+func (k Keys) Leader() string { return k.Prefix + "leader" }
+
+// Barrier is a key that never exists: reading it tells the present revision.
+func (k Keys) Barrier() string { return k.Prefix + "barrier" }
+
+// Catalog is the key of the machine types, where one record has room for all.
+func (k Keys) Catalog() string { return k.Prefix + "catalog" }
+
+// Types is the key of a part of the catalog.
+func (k Keys) Types(n int) string { return k.Prefix + "types/" + strconv.Itoa(n) }
+
+// Format is the key that says which forms of records may be written.
+func (k Keys) Format() string { return k.Prefix + "format" }
+
+// Node is the key of a member's registration.
+func (k Keys) Node(member string) string { return k.Prefix + "node/" + member }
+
+// Queue is the key of a queue's holder.
+func (k Keys) Queue(n int) string { return k.Prefix + "queue/" + strconv.Itoa(n) }
+
+// Block is the key of a group of machines.
+func (k Keys) Block(name string) string { return k.Prefix + "block/" + name }
+
+// Job is the key of a job's record.
+func (k Keys) Job(id string) string { return k.Prefix + "job/" + id }
+
+// Archive is the key of the record of a job that was over long ago.
+func (k Keys) Archive(id string) string { return k.ArchivePrefix() + id }
+
+// ArchivePrefix sorts last: a list ends there.
+func (k Keys) ArchivePrefix() string { return k.Prefix + "~over/" }
+
+// FinPrefix is what the keys of a job's finished ranges begin with.
 func (k Keys) FinPrefix(id string) string { return k.Prefix + "fin/" + id + "/" }
+
+// Fin is the key of a chunk, or part, of a job's finished ranges.
 func (k Keys) Fin(id string, chunk int) string {
 	if chunk >= bookkeeping.FirstPart {
 		return k.FinPrefix(id) + "p" + strconv.Itoa(chunk-bookkeeping.FirstPart)
@@ -115,15 +141,11 @@
 	return k.FinPrefix(id) + strconv.Itoa(chunk)
 }
 
-// WaitPart is a part of a job's list of needed jobs that its record has no room for.
+// WaitPart is the key of a part of a list of needed jobs that a job's record has no room for.
 func (k Keys) WaitPart(id, name string, n int) string {
 	return k.Prefix + "wait/" + id + "/" + name + "/" + strconv.Itoa(n)
 }
 
-// Format says which forms of records may be written; Types is a part of the catalog.
-func (k Keys) Format() string     { return k.Prefix + "format" }
-func (k Keys) Types(n int) string { return k.Prefix + "types/" + strconv.Itoa(n) }
-
 // Change tells what an event touched: the part of the key below the prefix.
 type Change struct {
 	Kind     string // leader, catalog, node, queue, block, job, fin
--- a/internal/transport/driver.go
+++ b/internal/transport/driver.go
@@ -173,7 +173,7 @@
 
 // ask hands a request to the core and waits for the answer; none in time, or no
 // room for it, is the false return.
-func (d *Driver) ask(ctx context.Context, patience time.Duration, make func(coordination.RequestID) coordination.Input) (coordination.Answer, bool) {
+func (d *Driver) ask(ctx context.Context, patience time.Duration, input func(coordination.RequestID) coordination.Input) (coordination.Answer, bool) {
 	ch := d.expect()
 	d.mu.Lock()
 	d.nextReq++
@@ -186,7 +186,7 @@
 		d.mu.Unlock()
 	}
 	select {
-	case d.inputs <- make(id):
+	case d.inputs <- input(id):
 	default:
 		forget()
 		return coordination.Answer{}, false
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -25,6 +25,7 @@
 	owner *boundedListener
 }
 
+// Accept is part of net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
@@ -40,6 +41,7 @@
 	}
 }
 
+// Close is part of net.Conn.
 func (c *boundedConn) Close() error {
 	c.once.Do(func() { c.owner.open.Add(-1) })
 	return c.Conn.Close()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -96,8 +96,8 @@
 }
 
 // user asks the core and writes its answer to a user.
-func (d *Driver) user(w http.ResponseWriter, r *http.Request, make func(coordination.RequestID) coordination.Input) {
-	a, ok := d.ask(r.Context(), patience, make)
+func (d *Driver) user(w http.ResponseWriter, r *http.Request, input func(coordination.RequestID) coordination.Input) {
+	a, ok := d.ask(r.Context(), patience, input)
 	if !ok {
 		refuse(w, http.StatusServiceUnavailable, "no answer in time", micros.Second)
 		return
