--- a/internal/coordination/adoption.go
+++ b/internal/coordination/adoption.go
@@ -89,29 +89,33 @@
 			blocks[o.Offer] = b.With(id, storage.MachineRecord{Address: o.address})
 		}
 	}
-	for _, o := range slices.SortedFunc(maps.Keys(blocks), fleet.Offer.Compare) {
-		b := blocks[o]
-		if l.adoptKey == "" {
-			l.counter++
-			l.adoptKey = c.keys.Block(fmt.Sprintf("a%d-%d", l.version, l.counter))
-		}
-		key := l.adoptKey
-		r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key}}}
-		c.putBlock(r, strings.TrimPrefix(key, c.keys.Block("")), b)
-		l.adoptAt = c.now + stateTimeout + micros.Second
-		c.log(levelInfo, "machines adopted", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", len(b.Machines), "queue", b.Queue)
-		// One at a time, and one whose answer was lost again under its own key until that is
-		// known to be taken: else both may be carried out, and a machine come into two blocks.
-		if !c.callState(r, storage.Urgent, stateTimeout, func(reply *storage.Reply) {
-			l.adoptAt = c.now + adoptPace
-			if reply.Outcome == storage.OK || reply.Outcome == storage.Conflict {
-				l.adoptKey = ""
-				l.closed = max(l.closed, reply.Revision)
-			}
-		}) {
-			l.adoptAt = c.now + adoptPace
+	if offers := slices.SortedFunc(maps.Keys(blocks), fleet.Offer.Compare); len(offers) > 0 {
+		c.adoptBlock(blocks[offers[0]])
+	}
+}
+
+// adoptBlock writes a block of machines found. One at a time, and one whose answer was lost
+// again under its own key until that is known to be taken: else both may be carried out, and
+// a machine come into two blocks.
+func (c *Core) adoptBlock(b storage.BlockRecord) {
+	l := &c.leader
+	if l.adoptKey == "" {
+		l.counter++
+		l.adoptKey = c.keys.Block(fmt.Sprintf("a%d-%d", l.version, l.counter))
+	}
+	key := l.adoptKey
+	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{c.asLeader(), {Key: key}}}
+	c.putBlock(r, strings.TrimPrefix(key, c.keys.Block("")), b)
+	l.adoptAt = c.now + stateTimeout + micros.Second
+	c.log(levelInfo, "machines adopted", "type", b.Type, "zone", b.Zone, "spot", b.Spot, "count", len(b.Machines), "queue", b.Queue)
+	if !c.callState(r, storage.Urgent, stateTimeout, func(reply *storage.Reply) {
+		l.adoptAt = c.now + adoptPace
+		if reply.Outcome == storage.OK || reply.Outcome == storage.Conflict {
+			l.adoptKey = ""
+			l.closed = max(l.closed, reply.Revision)
 		}
-		return
+	}) {
+		l.adoptAt = c.now + adoptPace
 	}
 }
 
--- a/internal/coordination/finished.go
+++ b/internal/coordination/finished.go
@@ -41,76 +41,88 @@
 		j.storeAt = h.c.now + partialEvery
 		return
 	}
-	maxOps := h.c.cfg.Settings.StateLimits().TxnOps
 	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{
 		{Key: h.c.keys.Queue(h.queue), Version: h.token},
 		{Key: h.c.keys.Job(j.ID), Version: j.version},
 	}}
-	written := map[int]*bookkeeping.TaskSet{}
-	if whole {
-		over := j.Final(bookkeeping.Done)
-		over.Over = h.c.wall
-		r.Puts = append(r.Puts, storage.Put{Key: h.c.keys.Job(j.ID), Value: storage.Encode(over)})
-		for _, chunk := range sortedKeys(j.entry.FinVersion) {
-			if len(r.Deletes)+1 < maxOps {
-				r.Deletes = append(r.Deletes, h.c.keys.Fin(j.ID, chunk))
-			}
-		}
-	} else {
-		all := bookkeeping.NewTaskSet(j.Tasks)
-		for t := range j.Tasks {
-			if j.finished(t) {
-				all.Add(t)
-			}
-		}
-		for _, chunk := range sortedKeys(j.chunks) {
-			if len(r.Puts) >= maxOps {
-				break
-			}
-			key := h.c.keys.Fin(j.ID, chunk)
-			// The chunk's own version keeps a late copy of an older write from
-			// taking finished tasks back.
-			r.Conditions = append(r.Conditions, storage.Condition{Key: key, Version: j.entry.FinVersion[chunk]})
-			r.Puts = append(r.Puts, storage.Put{Key: key, Value: storage.Encode(all.Ranges(chunk))})
-			written[chunk] = all
-		}
-	}
-	urgency := storage.Patient
+	urgency, written := storage.Patient, map[int]*bookkeeping.TaskSet{}
 	if whole {
 		urgency = storage.Urgent
+		h.putDone(r, j)
+	} else {
+		written = h.putFinished(r, j)
 	}
 	j.storing = h.c.callState(r, urgency, stateTimeout, func(reply *storage.Reply) {
 		j.storing = false
 		j.storeAt = h.c.now + 300*micros.Millisecond
-		if reply.Outcome != storage.OK {
-			return
+		if reply.Outcome == storage.OK {
+			h.stored(j, whole, written)
 		}
-		// The stream brings the same to the replica; what is stored now may be
-		// forgotten by the workers.
-		j.storeAt = h.c.now + partialEvery
-		for _, m := range h.machines {
-			for _, a := range m.attempts {
-				if a.j == j && a.state == Exited && (whole || wrote(written, a.id.Task)) {
-					a.stored = true
-				}
-			}
+	})
+}
+
+// putDone adds to a transaction that a job is done; its finished ranges are needed no more.
+func (h *holder) putDone(r *storage.Request, j *job) {
+	over := j.Final(bookkeeping.Done)
+	over.Over = h.c.wall
+	r.Puts = append(r.Puts, storage.Put{Key: h.c.keys.Job(j.ID), Value: storage.Encode(over)})
+	for _, chunk := range sortedKeys(j.entry.FinVersion) {
+		if len(r.Deletes)+1 < h.c.cfg.Settings.StateLimits().TxnOps {
+			r.Deletes = append(r.Deletes, h.c.keys.Fin(j.ID, chunk))
 		}
-		for chunk, set := range written {
-			left := false
-			for t := j.pending.Next(0); t >= 0; t = j.pending.Next(t + 1) {
-				left = left || (bookkeeping.InUnit(t, chunk) && !set.Has(t))
-			}
-			if !left {
-				delete(j.chunks, chunk)
+	}
+}
+
+// putFinished adds finished ranges to a transaction, and returns what it will have written,
+// by chunk or part.
+func (h *holder) putFinished(r *storage.Request, j *job) map[int]*bookkeeping.TaskSet {
+	all := bookkeeping.NewTaskSet(j.Tasks)
+	for t := range j.Tasks {
+		if j.finished(t) {
+			all.Add(t)
+		}
+	}
+	written := map[int]*bookkeeping.TaskSet{}
+	for _, chunk := range sortedKeys(j.chunks) {
+		if len(r.Puts) >= h.c.cfg.Settings.StateLimits().TxnOps {
+			break
+		}
+		key := h.c.keys.Fin(j.ID, chunk)
+		// The chunk's own version keeps a late copy of an older write from
+		// taking finished tasks back.
+		r.Conditions = append(r.Conditions, storage.Condition{Key: key, Version: j.entry.FinVersion[chunk]})
+		r.Puts = append(r.Puts, storage.Put{Key: key, Value: storage.Encode(all.Ranges(chunk))})
+		written[chunk] = all
+	}
+	return written
+}
+
+// stored notes what is in the state service now. The stream brings the same to the replica;
+// the workers may forget it.
+func (h *holder) stored(j *job, whole bool, written map[int]*bookkeeping.TaskSet) {
+	j.storeAt = h.c.now + partialEvery
+	for _, m := range h.machines {
+		for _, a := range m.attempts {
+			if a.j == j && a.state == Exited && (whole || wrote(written, a.id.Task)) {
+				a.stored = true
 			}
 		}
-		if whole {
-			clear(j.chunks)
-			took := h.c.wall - j.Submitted
-			h.c.log(levelInfo, "job done", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "took_ms", took/micros.Millisecond,
-				"late_ms", (took-j.Deadline)/micros.Millisecond)
+	}
+	for chunk, set := range written {
+		left := false
+		for t := j.pending.Next(0); t >= 0; t = j.pending.Next(t + 1) {
+			left = left || (bookkeeping.InUnit(t, chunk) && !set.Has(t))
 		}
-	})
+		if !left {
+			delete(j.chunks, chunk)
+		}
+	}
+	if whole {
+		clear(j.chunks)
+		took := h.c.wall - j.Submitted
+		h.c.log(levelInfo, "job done", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "took_ms", took/micros.Millisecond,
+			"late_ms", (took-j.Deadline)/micros.Millisecond)
+	}
 }
 
 // wrote tells whether a task was among those that were written, by chunk or part.
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -154,35 +154,7 @@
 			taken[r.Offer] = countOf(rooms, r.Offer) >= min(most(r.Offer), perOffer)
 		}
 		for left > 0 && len(rooms) < limit {
-			best, bestCost := (*room)(nil), 0.0
-			for _, t := range types {
-				slots := n.Each.Count(t.Capacity)
-				if slots == 0 {
-					continue
-				}
-				for _, zone := range t.Zones {
-					for _, spot := range []bool{true, false} {
-						o := Offer{t.Name, zone, spot}
-						if !n.Allows(o) || taken[o] || most(o) == 0 {
-							continue
-						}
-						price := t.Price
-						if spot {
-							price = t.SpotPrice
-						}
-						cost := price * micros.Seconds(t.Boot+n.Hold) / float64(min(slots, left))
-						if n.Service {
-							cost *= 1 + float64(slots)/float64(max(1, n.Replicas))
-							if n.Urgent {
-								cost *= 1 + float64(t.Boot)/float64(urgentBoot)
-							}
-						}
-						if best == nil || cost < bestCost {
-							best, bestCost = &room{o, t.Capacity}, cost
-						}
-					}
-				}
-			}
+			best := n.cheapest(types, left, func(o Offer) bool { return !taken[o] && most(o) > 0 })
 			if best == nil {
 				break
 			}
@@ -207,6 +179,46 @@
 	return out
 }
 
+// cheapest is a machine of the offer that costs least a task, of those that may be had; nil
+// if there is none.
+func (n *Need) cheapest(types []*bookkeeping.MachineType, left int64, available func(Offer) bool) *room {
+	best, bestCost := (*room)(nil), 0.0
+	for _, t := range types {
+		slots := n.Each.Count(t.Capacity)
+		if slots == 0 {
+			continue
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				o := Offer{t.Name, zone, spot}
+				if !n.Allows(o) || !available(o) {
+					continue
+				}
+				if cost := n.cost(t, spot, slots, left); best == nil || cost < bestCost {
+					best, bestCost = &room{o, t.Capacity}, cost
+				}
+			}
+		}
+	}
+	return best
+}
+
+// cost is what a machine costs over boot and use, for each task of the need that it takes.
+func (n *Need) cost(t *bookkeeping.MachineType, spot bool, slots, left int64) float64 {
+	price := t.Price
+	if spot {
+		price = t.SpotPrice
+	}
+	cost := price * micros.Seconds(t.Boot+n.Hold) / float64(min(slots, left))
+	if n.Service {
+		cost *= 1 + float64(slots)/float64(max(1, n.Replicas))
+		if n.Urgent {
+			cost *= 1 + float64(t.Boot)/float64(urgentBoot)
+		}
+	}
+	return cost
+}
+
 func countOf(rooms []*room, o Offer) int {
 	n := 0
 	for _, r := range rooms {
--- a/internal/coordination/reclaim.go
+++ b/internal/coordination/reclaim.go
@@ -44,39 +44,7 @@
 	for name, t := range h.c.teams {
 		borrowed[name] = h.usage[name].CPU - t.GuaranteeCPU
 	}
-	var found []victim
-	for _, m := range h.machines {
-		if m.kind == nil || !h.usable(m) || m.pause > now || !j.AllowsType(m.block.Type) || (j.Zone != "" && j.Zone != m.block.Zone) ||
-			(m.block.Spot && !j.Spot) || !j.Need.Fits(m.kind.Capacity) {
-			continue
-		}
-		if !m.hasImage(j.Image) && (m.kind.FetchGBps <= 0 || now+micros.FromSeconds(j.ImageGB/m.kind.FetchGBps) > by) {
-			continue
-		}
-		var own []*attempt
-		for _, a := range m.attempts {
-			if h.reclaimable(r, a, borrowed, limited) {
-				own = append(own, a)
-			}
-		}
-		// The least work lost first.
-		slices.SortFunc(own, func(x, y *attempt) int { return cmp.Or(cmp.Compare(h.begun(x), h.begun(y)), x.id.compare(y.id)) })
-		free := h.free(m)
-		had := int(j.Need.Count(free))
-		for _, a := range own {
-			if limited {
-				if k := int(j.Need.Count(a.need)); k > 0 {
-					found = append(found, victim{a, m, k, micros.Seconds(h.begun(a)) * float64(a.need.CPU) / float64(k)})
-				}
-				continue
-			}
-			if k := int(j.Need.Count(free.Add(a.need))); k > had {
-				found = append(found, victim{a, m, k - had, micros.Seconds(h.begun(a)) * float64(a.need.CPU) / float64(k-had)})
-				free, had = free.Add(a.need), k
-			}
-		}
-	}
-	slices.SortStableFunc(found, func(x, y victim) int { return cmp.Compare(x.cost, y.cost) })
+	found := h.victims(r, by, borrowed, limited)
 	gain, last := 0, 0
 	for last < len(found) && gain < missing {
 		v := &found[last]
@@ -108,6 +76,54 @@
 	}
 }
 
+// victims are the attempts that may be stopped for a job and make room for it in time, those
+// first that lose least for a slot.
+func (h *holder) victims(r ranked, by micros.Time, borrowed map[string]int64, limited bool) []victim {
+	j, now := r.j, h.c.now
+	var found []victim
+	for _, m := range h.machines {
+		if m.kind == nil || !h.usable(m) || m.pause > now || !j.AllowsType(m.block.Type) || (j.Zone != "" && j.Zone != m.block.Zone) ||
+			(m.block.Spot && !j.Spot) || !j.Need.Fits(m.kind.Capacity) {
+			continue
+		}
+		if !m.hasImage(j.Image) && (m.kind.FetchGBps <= 0 || now+micros.FromSeconds(j.ImageGB/m.kind.FetchGBps) > by) {
+			continue
+		}
+		found = append(found, h.victimsOn(m, r, borrowed, limited)...)
+	}
+	slices.SortStableFunc(found, func(x, y victim) int { return cmp.Compare(x.cost, y.cost) })
+	return found
+}
+
+// victimsOn are those of one machine.
+func (h *holder) victimsOn(m *machine, r ranked, borrowed map[string]int64, limited bool) []victim {
+	j := r.j
+	var own []*attempt
+	for _, a := range m.attempts {
+		if h.reclaimable(r, a, borrowed, limited) {
+			own = append(own, a)
+		}
+	}
+	// The least work lost first.
+	slices.SortFunc(own, func(x, y *attempt) int { return cmp.Or(cmp.Compare(h.begun(x), h.begun(y)), x.id.compare(y.id)) })
+	free := h.free(m)
+	had := int(j.Need.Count(free))
+	var found []victim
+	for _, a := range own {
+		if limited {
+			if k := int(j.Need.Count(a.need)); k > 0 {
+				found = append(found, victim{a, m, k, micros.Seconds(h.begun(a)) * float64(a.need.CPU) / float64(k)})
+			}
+			continue
+		}
+		if k := int(j.Need.Count(free.Add(a.need))); k > had {
+			found = append(found, victim{a, m, k - had, micros.Seconds(h.begun(a)) * float64(a.need.CPU) / float64(k-had)})
+			free, had = free.Add(a.need), k
+		}
+	}
+	return found
+}
+
 // reclaimPart is the part of a job's own run time that an attempt may have run and
 // still be stopped for it.
 const reclaimPart = 4
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -163,17 +163,7 @@
 		return
 	}
 	if r.Session > m.session {
-		if m.session != 0 {
-			// The lease ran out: it killed and forgot all its tasks. That does not make
-			// it known: a predecessor may have started others since.
-			known := m.known
-			h.emptied(m)
-			m.known = known
-		}
-		m.session = r.Session
-		m.floor, m.floorNew, m.floorAt = 0, 0, h.c.now
-		m.expired = false
-		h.dirty = true
+		h.newSession(m, r.Session)
 	}
 	if h.c.now-m.floorAt > answerPatience {
 		m.floor, m.floorNew, m.floorAt = m.floorNew, r.Seq, h.c.now
@@ -201,6 +191,30 @@
 		// overtaken by what the predecessor still orders. It says nothing of tasks.
 		return
 	}
+	h.takeTasks(m, r)
+	if m.ack == h.token && !m.known {
+		m.known = true
+		h.dirty = true
+	}
+	h.evacuate(m)
+}
+
+// newSession notes that a machine's lease ran out: it killed and forgot all its tasks. That
+// does not make it known: a predecessor may have started others since.
+func (h *holder) newSession(m *machine, session uint64) {
+	if m.session != 0 {
+		known := m.known
+		h.emptied(m)
+		m.known = known
+	}
+	m.session = session
+	m.floor, m.floorNew, m.floorAt = 0, 0, h.c.now
+	m.expired = false
+	h.dirty = true
+}
+
+// takeTasks takes a report's tasks for the truth about its machine.
+func (h *holder) takeTasks(m *machine, r *Report) {
 	shown := make(map[AttemptID]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -226,11 +240,6 @@
 			h.requeue(a)
 		}
 	}
-	if m.ack == h.token && !m.known {
-		m.known = true
-		h.dirty = true
-	}
-	h.evacuate(m)
 }
 
 // oddEvery bounds what stale and contradictory reports make us log.
--- a/internal/coordination/room.go
+++ b/internal/coordination/room.go
@@ -41,37 +41,7 @@
 			(m.block.Spot && !j.Spot) || !h.zoneAllows(j, m.block.Zone) {
 			continue
 		}
-		free := m.kind.Capacity
-		var lower []*attempt
-		for _, id := range sortedAttempts(m) {
-			a := m.attempts[id]
-			if a.state == Exited {
-				continue
-			}
-			free = free.Sub(a.need)
-			if a.j != nil && a.j.Priority < j.Priority && !a.stop {
-				lower = append(lower, a)
-			}
-		}
-		// The least work lost first.
-		slices.SortStableFunc(lower, func(a, b *attempt) int { return cmp.Compare(h.lost(a), h.lost(b)) })
-		cost := 0.0
-		var take []*attempt
-		for _, a := range lower {
-			if j.Need.Fits(free) {
-				break
-			}
-			free = free.Add(a.need)
-			cost += micros.Seconds(h.lost(a)) + 1
-			take = append(take, a)
-		}
-		if !j.Need.Fits(free) {
-			continue
-		}
-		if !m.hasImage(j.Image) && m.kind.FetchGBps > 0 {
-			cost += 20 * j.ImageGB / m.kind.FetchGBps
-		}
-		if best == nil || cost < bestCost {
+		if take, cost, ok := h.roomOn(m, j); ok && (best == nil || cost < bestCost) {
 			best, victims, bestCost = m, take, cost
 		}
 	}
@@ -96,6 +66,37 @@
 	return true
 }
 
+// roomOn says which attempts of lower priority have to be stopped on a machine for a task of
+// the job, and what that costs; ok is false where it would not be enough.
+func (h *holder) roomOn(m *machine, j *job) (take []*attempt, cost float64, ok bool) {
+	free := m.kind.Capacity
+	var lower []*attempt
+	for _, id := range sortedAttempts(m) {
+		a := m.attempts[id]
+		if a.state == Exited {
+			continue
+		}
+		free = free.Sub(a.need)
+		if a.j != nil && a.j.Priority < j.Priority && !a.stop {
+			lower = append(lower, a)
+		}
+	}
+	// The least work lost first.
+	slices.SortStableFunc(lower, func(a, b *attempt) int { return cmp.Compare(h.lost(a), h.lost(b)) })
+	for _, a := range lower {
+		if j.Need.Fits(free) {
+			break
+		}
+		free = free.Add(a.need)
+		cost += micros.Seconds(h.lost(a)) + 1
+		take = append(take, a)
+	}
+	if !m.hasImage(j.Image) && m.kind.FetchGBps > 0 {
+		cost += 20 * j.ImageGB / m.kind.FetchGBps
+	}
+	return take, cost, j.Need.Fits(free)
+}
+
 // lost is the work that stopping an attempt loses.
 func (h *holder) lost(a *attempt) micros.Time {
 	if a.running == 0 {
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -54,7 +54,35 @@
 		h.c.log(levelInfo, "all machines known", "queue", h.queue, "after_ms", (now-h.taken)/micros.Millisecond)
 	}
 
-	var services, arrays []ranked
+	services, arrays := h.rankJobs(silent)
+	machines := h.planMachines()
+	var needs []fleet.Need
+	for _, r := range services {
+		needs = append(needs, h.placeService(r, machines)...)
+	}
+	needs = append(needs, h.spare()...)
+	h.placeFirst(arrays, machines)
+	left := planTasks
+	for _, r := range arrays {
+		needs = append(needs, h.placeArray(r, machines, &left)...)
+	}
+	needs = mergeNeeds(needs)
+	if len(needs) > 0 && !slices.EqualFunc(needs, h.needs, sameNeed) {
+		h.c.statusUp = true // the leader is to hear of them soon
+	}
+	h.needs = needs
+	if !silent {
+		// Jobs that wait for the last silent machine have no needs yet, and will.
+		h.returnIdle()
+		h.consolidate()
+	}
+	h.logFleet(services, arrays)
+}
+
+// rankJobs are the jobs with tasks that may start, in the order in which they are placed:
+// services by priority and age, arrays by the index, after what is guaranteed.
+func (h *holder) rankJobs(silent bool) (services, arrays []ranked) {
+	now := h.c.now
 	var queue []*plan.Queued
 	for _, j := range h.order {
 		j.est = 0
@@ -75,44 +103,25 @@
 			queue = append(queue, r.q)
 		}
 	}
-	machines := h.planMachines()
 	plan.Rank(queue, now)
 	slices.SortStableFunc(services, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.ready, b.j.ready))
 	})
-	slices.SortStableFunc(arrays, func(a, b ranked) int {
-		switch {
-		case a.guaranteed != b.guaranteed:
-			return first(a.guaranteed)
-		case a.pressed != b.pressed:
-			return first(a.pressed)
-		case a.pressed:
-			return cmp.Compare(a.j.ready, b.j.ready)
-		}
-		return cmp.Compare(b.q.Index, a.q.Index)
-	})
+	slices.SortStableFunc(arrays, compareArrays)
+	return services, arrays
+}
 
-	var needs []fleet.Need
-	for _, r := range services {
-		needs = append(needs, h.placeService(r, machines)...)
-	}
-	needs = append(needs, h.spare()...)
-	h.placeFirst(arrays, machines)
-	left := planTasks
-	for _, r := range arrays {
-		needs = append(needs, h.placeArray(r, machines, &left)...)
-	}
-	needs = mergeNeeds(needs)
-	if len(needs) > 0 && !slices.EqualFunc(needs, h.needs, sameNeed) {
-		h.c.statusUp = true // the leader is to hear of them soon
-	}
-	h.needs = needs
-	if !silent {
-		// Jobs that wait for the last silent machine have no needs yet, and will.
-		h.returnIdle()
-		h.consolidate()
-	}
-	h.logFleet(services, arrays)
+// compareArrays orders jobs whose index is known.
+func compareArrays(a, b ranked) int {
+	switch {
+	case a.guaranteed != b.guaranteed:
+		return first(a.guaranteed)
+	case a.pressed != b.pressed:
+		return first(a.pressed)
+	case a.pressed:
+		return cmp.Compare(a.j.ready, b.j.ready)
+	}
+	return cmp.Compare(b.q.Index, a.q.Index)
 }
 
 // first orders what it is true for before the rest.
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -216,40 +216,13 @@
 	var err error
 	switch kind {
 	case "leader":
-		if r.Leader.Version >= it.Version {
-			return c, false, nil
-		}
-		if it.Deleted {
-			r.Leader = Versioned[Process]{}
-			return c, true, nil
-		}
-		var v Versioned[Process]
-		if v, err = decode[Process](it); err == nil {
-			r.Leader, changed = v, true
-		}
+		changed, err = r.applyLeader(it)
 	case "catalog":
-		if r.Catalog.Version < it.Version && !it.Deleted {
-			var v Versioned[bookkeeping.Catalog]
-			if v, err = decode[bookkeeping.Catalog](it); err == nil {
-				r.Catalog, changed = v, true
-			}
-		}
+		changed, err = r.applyCatalog(it)
 	case "node":
-		if changed, err = applyTo(r.Nodes, id, it); changed {
-			var reg Registration
-			if !it.Deleted {
-				err = json.Unmarshal(it.Value, &reg)
-			}
-			r.Formats[id] = reg.Format
-		}
+		changed, err = r.applyNode(id, it)
 	case "format":
-		var f struct {
-			Format int `json:"v"`
-		}
-		if err = json.Unmarshal(it.Value, &f); err == nil && !it.Deleted {
-			changed = f.Format > r.Format
-			r.Format = max(r.Format, f.Format)
-		}
+		changed, err = r.applyFormat(it)
 	case "types":
 		changed, err = r.applyTypes(it)
 	case "wait":
@@ -267,14 +240,8 @@
 		changed, err = r.applyJob(id, it)
 	case "fin":
 		var chunk int
-		ref, n, _ := strings.Cut(id, "/")
-		c.ID = ref
-		part, isPart := strings.CutPrefix(n, "p")
-		if chunk, err = strconv.Atoi(part); err == nil {
-			if isPart {
-				chunk += bookkeeping.FirstPart
-			}
-			changed, err = r.applyFin(ref, chunk, it)
+		if c.ID, chunk, err = parseFin(id); err == nil {
+			changed, err = r.applyFin(c.ID, chunk, it)
 		}
 	}
 	if err != nil {
@@ -283,6 +250,72 @@
 	return c, changed, err
 }
 
+func (r *Replica) applyLeader(it Item) (bool, error) {
+	if r.Leader.Version >= it.Version {
+		return false, nil
+	}
+	if it.Deleted {
+		r.Leader = Versioned[Process]{}
+		return true, nil
+	}
+	v, err := decode[Process](it)
+	if err == nil {
+		r.Leader = v
+	}
+	return err == nil, err
+}
+
+func (r *Replica) applyCatalog(it Item) (bool, error) {
+	if r.Catalog.Version >= it.Version || it.Deleted {
+		return false, nil
+	}
+	v, err := decode[bookkeeping.Catalog](it)
+	if err == nil {
+		r.Catalog = v
+	}
+	return err == nil, err
+}
+
+// applyNode takes a member's registration, and what its version writes.
+func (r *Replica) applyNode(member string, it Item) (bool, error) {
+	changed, err := applyTo(r.Nodes, member, it)
+	if !changed {
+		return false, err
+	}
+	var reg Registration
+	if !it.Deleted {
+		err = json.Unmarshal(it.Value, &reg)
+	}
+	r.Formats[member] = reg.Format
+	return true, err
+}
+
+// applyFormat takes what may be written, which only grows.
+func (r *Replica) applyFormat(it Item) (bool, error) {
+	if it.Deleted {
+		return false, nil
+	}
+	var f struct {
+		Format int `json:"v"`
+	}
+	if err := json.Unmarshal(it.Value, &f); err != nil {
+		return false, err
+	}
+	changed := f.Format > r.Format
+	r.Format = max(r.Format, f.Format)
+	return changed, nil
+}
+
+// parseFin splits the key of finished ranges into the job and the chunk or part.
+func parseFin(id string) (job string, chunk int, err error) {
+	job, n, _ := strings.Cut(id, "/")
+	part, isPart := strings.CutPrefix(n, "p")
+	if chunk, err = strconv.Atoi(part); err == nil && isPart {
+		chunk += bookkeeping.FirstPart
+	}
+	return job, chunk, err
+}
+
 // applyBlock takes a block's record and tells which machines it touched.
 func (r *Replica) applyBlock(name string, it Item) ([]string, bool, error) {
 	old := r.Blocks[name].Value.Machines
