Spare room is rented once: machines that just booted count, those that take over stay

(2) small machines rented to take over from a large one were given back as surplus after 5 s. Ruled out: the sums of spareMissing, the oversized test (nil there), boot times.

--- a/internal/coordination/cancelling.go
+++ b/internal/coordination/cancelling.go
@@ -11,43 +11,45 @@
 //
 // A cancellation binds from its commit: from then on any node may tell it to a user,
 // and cancel_s runs. Three things end the tasks in time, each without the others: the
-// holder's stream shows it; a sibling that knows of it tells the holder (a word, which
+// holder's stream shows it; a sibling that knows of it tells the holder (a notice, which
 // only stops work); and the holder's term, after which it answers no worker, so that
 // leases run out. What was told to stop and is not shown gone in time makes its
 // machine go.
 
 const (
-	// maxWords bounds the cancellations that are kept to be told, and heard.
-	maxWords = 8192
-	// wordsAtOnce bounds those in one message.
-	wordsAtOnce = 500
+	// maxNotices bounds the cancellations that are kept to be told, and heard.
+	maxNotices = 8192
+	// maxNoticesInMessage bounds those in one message.
+	maxNoticesInMessage = 500
 )
 
-// word is a cancellation that is a fact: committed here, or shown by the stream.
-type word struct {
+// cancelNotice is a cancellation that is a fact: committed here, or shown by the stream.
+type cancelNotice struct {
 	job      string
-	number   uint64 // counts this process' words
+	number   uint64 // counts the notices of this process
 	revision uint64 // at which it was committed
 	at       micros.Time
 }
 
 // cancellations is what this controller tells of, and heard from its siblings.
 type cancellations struct {
-	words []word // oldest first
-	last  uint64 // number of the newest
-	known map[string]bool
-	heard map[string]CancelsHeard // by member: how far its words came
-	told  map[string]micros.Time  // jobs that a sibling knows to be cancelled: since when
-	swept micros.Time
+	notices []cancelNotice // oldest first
+	last    uint64         // number of the newest
+	known   map[string]bool
+	heard   map[string]CancelsHeard // by member: how far its notices came
+	told    map[string]micros.Time  // jobs that a sibling knows to be cancelled: since when
+	swept   micros.Time
 }
 
 func newCancellations() cancellations {
 	return cancellations{known: map[string]bool{}, heard: map[string]CancelsHeard{}, told: map[string]micros.Time{}}
 }
 
-// wordsFor is how long a cancellation may matter to somebody who has not heard of it:
+// noticeLifetime is how long a cancellation may matter to somebody who has not heard of it:
 // within cancel_s, what he holds has ended by itself.
-func (c *Core) wordsFor() micros.Time { return 2 * micros.FromSeconds(c.cfg.Settings.Workers.CancelS) }
+func (c *Core) noticeLifetime() micros.Time {
+	return 2 * micros.FromSeconds(c.cfg.Settings.Workers.CancelS)
+}
 
 // confirmed notes a cancellation that is committed: by this controller, which is about
 // to tell its user, or by another, as the stream shows. Whoever knows of it tells it on,
@@ -59,20 +61,20 @@
 	}
 	s.known[id] = true
 	s.last++
-	s.words = append(s.words, word{id, s.last, revision, c.now})
-	if len(s.words) > maxWords {
-		delete(s.known, s.words[0].job)
-		s.words = s.words[1:]
+	s.notices = append(s.notices, cancelNotice{id, s.last, revision, c.now})
+	if len(s.notices) > maxNotices {
+		delete(s.known, s.notices[0].job)
+		s.notices = s.notices[1:]
 	}
 	if own {
-		c.statusUp = true // the holder is to hear of it at once
-		c.callOff(id)
+		c.statusSoon = true // the holder is to hear of it at once
+		c.requestCancel(id)
 	}
 }
 
-// wordsTo are the cancellations that a sibling may not know of: its stream had not come
+// noticesTo are the cancellations that a sibling may not know of: its stream had not come
 // that far when it last spoke, nor has it said that it heard of them.
-func (c *Core) wordsTo(member string) (jobs []string, upTo uint64) {
+func (c *Core) noticesTo(member string) (jobs []string, upTo uint64) {
 	var heard, revision uint64
 	if p := c.peers[member]; p != nil {
 		revision = p.status.Revision
@@ -82,11 +84,11 @@
 			}
 		}
 	}
-	for _, w := range c.cancelled.words {
+	for _, w := range c.cancelled.notices {
 		if w.number <= heard || w.revision <= revision {
 			continue
 		}
-		if len(jobs) == wordsAtOnce {
+		if len(jobs) == maxNoticesInMessage {
 			break
 		}
 		jobs, upTo = append(jobs, w.job), w.number
@@ -94,28 +96,28 @@
 	return jobs, upTo
 }
 
-// heardOf takes a sibling's words. They are believed for stopping only: nobody is told
+// takeNotices takes a sibling's notices. They are believed for stopping only: nobody is told
 // that a job is cancelled, and no term gets longer, before the stream shows it. So a
-// late or repeated word does no harm.
-func (c *Core) heardOf(s *Status) {
+// late or repeated notice does no harm.
+func (c *Core) takeNotices(s *Status) {
 	if len(s.Cancelled) == 0 || s.From == c.proc {
 		return
 	}
 	mine := &c.cancelled
 	if h := mine.heard[s.From.Member]; h.From != s.From || h.UpTo < s.CancelledUpTo {
 		mine.heard[s.From.Member] = CancelsHeard{s.From, s.CancelledUpTo}
-		c.statusUp = true
+		c.statusSoon = true
 	}
 	for _, id := range s.Cancelled {
-		if _, ok := mine.told[id]; ok || len(mine.told) >= maxWords {
+		if _, ok := mine.told[id]; ok || len(mine.told) >= maxNotices {
 			continue
 		}
 		mine.told[id] = c.now
-		c.callOff(id)
+		c.requestCancel(id)
 	}
 }
 
-// cancelsHeard is what siblings are told of how far their words came.
+// cancelsHeard is what siblings are told of how far their notices came.
 func (c *Core) cancelsHeard() []CancelsHeard {
 	var out []CancelsHeard
 	for _, m := range sortedKeys(c.cancelled.heard) {
@@ -131,32 +133,32 @@
 		return
 	}
 	s.swept = c.now
-	for len(s.words) > 0 && c.now-s.words[0].at > c.wordsFor() {
-		delete(s.known, s.words[0].job)
-		s.words = s.words[1:]
+	for len(s.notices) > 0 && c.now-s.notices[0].at > c.noticeLifetime() {
+		delete(s.known, s.notices[0].job)
+		s.notices = s.notices[1:]
 	}
 	for id, at := range s.told {
-		if c.now-at > c.wordsFor() {
+		if c.now-at > c.noticeLifetime() {
 			delete(s.told, id)
 		}
 	}
 }
 
-// callOff stops all work of a job that is known to be cancelled, before the stream
+// requestCancel stops all work of a job that is known to be cancelled, before the stream
 // shows it.
-func (c *Core) callOff(id string) {
+func (c *Core) requestCancel(id string) {
 	for _, n := range sortedKeys(c.holders) {
 		if j := c.holders[n].jobs[id]; j != nil {
-			c.holders[n].callOff(j)
+			c.holders[n].requestCancel(j)
 		}
 	}
 }
 
-func (h *holder) callOff(j *job) {
-	if j.calledOff {
+func (h *holder) requestCancel(j *job) {
+	if j.cancelRequested {
 		return
 	}
-	j.calledOff = true
+	j.cancelRequested = true
 	h.c.log(levelInfo, "job called off", "job", j.ID, "tasks", len(j.live))
 	for _, t := range sortedKeys(j.live) {
 		h.kill(j.live[t])
@@ -221,7 +223,7 @@
 // killNotShown is why such a machine drains.
 const killNotShown = "kill not shown"
 
-// CancelsHeard is how far the words of a process came.
+// CancelsHeard is how far the notices of a process came.
 type CancelsHeard struct {
 	From storage.Process
 	UpTo uint64
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -51,22 +51,22 @@
 	workerMost int        // how many may be, for lack of sockets
 	session
 	barrier
-	holders   map[int]*holder
-	ends      map[storage.Process]micros.Time // when a process was first known dead
-	peers     map[string]*peerView
-	cancelled cancellations
-	lists     int                          // of needed jobs that were stored in parts
-	archive   map[string]*storage.JobEntry // records read from there
-	progress  map[string]JobProgress
-	leader    leaderState
-	stats     *bookkeeping.RunTimes
-	faults    *fleet.Faults
-	spot      spotLosses
-	reach     reach
-	planned   *holder // that planned in the last step
-	statusAt  micros.Time
-	statusUp  bool        // send the status soon
-	okAt      micros.Time // when the state service last answered in time
+	holders    map[int]*holder
+	ends       map[storage.Process]micros.Time // when a process was first known dead
+	peers      map[string]*peerView
+	cancelled  cancellations
+	lists      int                          // of needed jobs that were stored in parts
+	archive    map[string]*storage.JobEntry // records read from there
+	progress   map[string]JobProgress
+	leader     leaderState
+	stats      *bookkeeping.RunTimes
+	faults     *fleet.Faults
+	spot       spotLosses
+	reach      reach
+	planned    *holder // that planned in the last step
+	statusAt   micros.Time
+	statusSoon bool        // send the status soon
+	okAt       micros.Time // when the state service last answered in time
 }
 
 // spotLosses counts how often spot machines are taken.
@@ -129,7 +129,7 @@
 // leaves time for everything else is measured outside.
 func (c *Core) Took(d micros.Time) {
 	if c.planned != nil {
-		c.planned.planPause = min(planAnyway, max(planPace, planPart*d))
+		c.planned.planPause = min(maxPlanInterval, max(planPace, planPart*d))
 	}
 	c.planned = nil
 }
@@ -326,13 +326,13 @@
 // tickStatus tells the siblings how things stand.
 func (c *Core) tickStatus() {
 	every := 500 * micros.Millisecond
-	if c.statusUp {
+	if c.statusSoon {
 		every = 100 * micros.Millisecond
 	}
 	if c.now-c.statusAt < every {
 		return
 	}
-	c.statusAt, c.statusUp = c.now, false
+	c.statusAt, c.statusSoon = c.now, false
 	s := &Status{From: c.proc, Revision: c.replica.Revision, StateOK: c.stateOK(), Used: c.budget.Recent(), Reach: c.reach.told(c.now)}
 	var others storage.Usage
 	for member, p := range c.peers {
@@ -359,7 +359,7 @@
 	for _, p := range c.cfg.Siblings {
 		mine := *s
 		mine.Shifts = c.leader.shifts[p.Member]
-		mine.Cancelled, mine.CancelledUpTo = c.wordsTo(p.Member)
+		mine.Cancelled, mine.CancelledUpTo = c.noticesTo(p.Member)
 		c.out.Peers = append(c.out.Peers, PeerSend{p.Member, &mine})
 	}
 	for _, sh := range c.leader.shifts[c.proc.Member] {
@@ -374,7 +374,7 @@
 // which nothing makes untrue.
 func (c *Core) heard(s *Status) {
 	c.peers[s.From.Member] = &peerView{c.now, s}
-	c.heardOf(s)
+	c.takeNotices(s)
 	for _, m := range s.Gone {
 		for _, h := range c.holders {
 			h.machineGone(m)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -35,50 +35,50 @@
 	lastTick  micros.Time
 	calmAt    micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
-	doubtUntil micros.Time
-	zones      map[string]*zoneView // of machines in use
-	zonesAt    micros.Time          // last look at them
-	oddAt      micros.Time          // last report told as not believed
-	told       string               // the job with which the next message on progress begins
-	knew       bool                 // all machines are known, or were
-	fleetAt    micros.Time
-	mergedAt   micros.Time            // last look at surplus machines
-	movedAt    micros.Time            // last move of a replica
-	load       int64                  // CPU that arrays used of late
-	toProbe    []*machine             // of this tick
-	turn       int                    // counts rounds of sending
-	marking    map[string]micros.Time // blocks whose record of use is being written, or was: not again before
-	kills      []*attempt             // of cancelled jobs, not shown gone
-	unknown    map[string]micros.Time // needed jobs that are not in memory: not looked up before
-	resolving  int                    // look-ups that are out
-	doomed     map[string]bool        // cancelled with a job before them, which is to be written down
-	dooming    bool
-	doomAt     micros.Time
-	heirs      map[string]heir // of this plan
+	doubtUntil       micros.Time
+	zones            map[string]*zoneView // of machines in use
+	zonesAt          micros.Time          // last look at them
+	oddAt            micros.Time          // last report told as not believed
+	told             string               // the job with which the next message on progress begins
+	allKnown         bool                 // all machines are known, or were
+	fleetAt          micros.Time
+	mergedAt         micros.Time            // last look at surplus machines
+	movedAt          micros.Time            // last move of a replica
+	load             int64                  // CPU that arrays used of late
+	toProbe          []*machine             // of this tick
+	turn             int                    // counts rounds of sending
+	marking          map[string]micros.Time // blocks whose record of use is being written, or was: not again before
+	kills            []*attempt             // of cancelled jobs, not shown gone
+	unknown          map[string]micros.Time // needed jobs that are not in memory: not looked up before
+	resolving        int                    // look-ups that are out
+	cancelledBefore  map[string]bool        // cancelled with a job before them, which is to be written down
+	writingCancelled bool
+	writeCancelledAt micros.Time
+	inherited        map[string]inheritance // of this plan
 }
 
 // job is an active job of the queue.
 type job struct {
 	*bookkeeping.Job
-	version   uint64
-	entry     *storage.JobEntry
-	waiting   *bookkeeping.TaskSet
-	pending   *bookkeeping.TaskSet // finished, not known to be stored
-	live      map[int]*attempt
-	chunks    map[int]bool // with pending tasks
-	storing   bool
-	storeAt   micros.Time
-	pause     micros.Time // no starts before
-	ran       micros.Time // run times of its completed tasks, added up
-	ranN      int
-	est       micros.Time // estimate of a task as of estAt
-	estAt     micros.Time
-	sure      bool                 // it was within its team's guarantee when it was planned
-	spared    *bookkeeping.TaskSet // stopped once for another job, and not again
-	double    []*attempt           // second attempts at a live task, being stopped
-	calledOff bool                 // a sibling knows it to be cancelled: it starts nothing any more
-	blocked   bool                 // it waits on others
-	ready     micros.Time          // time of day since which it may start
+	version         uint64
+	entry           *storage.JobEntry
+	waiting         *bookkeeping.TaskSet
+	pending         *bookkeeping.TaskSet // finished, not known to be stored
+	live            map[int]*attempt
+	chunks          map[int]bool // with pending tasks
+	storing         bool
+	storeAt         micros.Time
+	pause           micros.Time // no starts before
+	ran             micros.Time // run times of its completed tasks, added up
+	ranN            int
+	est             micros.Time // estimate of a task as of estAt
+	estAt           micros.Time
+	wasGuaranteed   bool                 // it was within its team's guarantee when it was planned
+	spared          *bookkeeping.TaskSet // stopped once for another job, and not again
+	double          []*attempt           // second attempts at a live task, being stopped
+	cancelRequested bool                 // a sibling knows it to be cancelled: it starts nothing any more
+	blocked         bool                 // it waits on others
+	ready           micros.Time          // time of day since which it may start
 }
 
 func (j *job) finished(task int) bool {
@@ -125,7 +125,7 @@
 	h := &holder{c: c, queue: n, since: v.Version, token: v.Version, former: v.Value.Former, taken: c.now,
 		jobs: map[string]*job{}, usage: map[string]bookkeeping.Resources{}, dirty: true, lastTick: c.now,
 		calmAt: c.now, planPause: planPace, noRoom: map[roomShape]bool{}, zones: map[string]*zoneView{}, marking: map[string]micros.Time{},
-		unknown: map[string]micros.Time{}, doomed: map[string]bool{}}
+		unknown: map[string]micros.Time{}, cancelledBefore: map[string]bool{}}
 	for _, id := range sortedKeys(c.replica.Machines) {
 		h.blockChanged(id)
 	}
@@ -239,10 +239,10 @@
 func (h *holder) jobChanged(id string) {
 	e := h.c.replica.Jobs[id]
 	j := h.jobs[id]
-	if e != nil && e.Doomed && e.Job.Phase == bookkeeping.Active && h.c.queueOf(e.Job) == h.queue {
-		h.doomed[id] = true
+	if e != nil && e.CancelledBefore && e.Job.Phase == bookkeeping.Active && h.c.queueOf(e.Job) == h.queue {
+		h.cancelledBefore[id] = true
 	}
-	if e == nil || e.Job.Phase != bookkeeping.Active || e.Doomed || h.c.queueOf(e.Job) != h.queue {
+	if e == nil || e.Job.Phase != bookkeeping.Active || e.CancelledBefore || h.c.queueOf(e.Job) != h.queue {
 		if j != nil {
 			h.jobOver(j)
 		}
@@ -266,8 +266,8 @@
 	h.jobs[id] = j
 	i, _ := slices.BinarySearchFunc(h.order, id, func(o *job, id string) int { return cmp.Compare(o.ID, id) })
 	h.order = slices.Insert(h.order, i, j)
-	_, j.calledOff = h.c.cancelled.told[id]
-	j.calledOff = j.calledOff || h.c.cancelled.known[id]
+	_, j.cancelRequested = h.c.cancelled.told[id]
+	j.cancelRequested = j.cancelRequested || h.c.cancelled.known[id]
 	h.wait(j)
 	h.dirty = true
 	h.c.log(levelDebug, "job", "job", id, "class", j.Class, "tasks", j.Tasks, "cpu", j.Need.CPU, "estimate_ms", j.Estimate/micros.Millisecond,
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -237,7 +237,7 @@
 		if l.version == version {
 			c.removeBlocks()
 		}
-		c.statusUp = true
+		c.statusSoon = true
 	})
 }
 
@@ -387,7 +387,7 @@
 					l.shifts = map[string][]Shift{}
 				}
 				l.shifts[holder] = append(l.shifts[holder], Shift{Machine: m, To: needy.Queue})
-				c.statusUp = true
+				c.statusSoon = true
 				return
 			}
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -17,10 +17,13 @@
 	kind    *bookkeeping.MachineType
 	addr    string
 	session uint64
-	seq     uint64
-	ack     uint64 // highest token it reported
-	known   bool   // its tasks are known, or it surely has none
-	expired bool   // its lease ran out, or its session is over: empty until it reports
+	// sessionAt is when the session was first heard of; nothing may have reached the
+	// machine by then.
+	sessionAt micros.Time
+	seq       uint64
+	ack       uint64 // highest token it reported
+	known     bool   // its tasks are known, or it surely has none
+	expired   bool   // its lease ran out, or its session is over: empty until it reports
 
 	added micros.Time
 	// seen is when something last showed that our messages reach it: a report
@@ -132,7 +135,7 @@
 		h.store(j)
 	}
 	h.resolve()
-	h.writeDoomed()
+	h.writeCancelledBefore()
 	h.schedule()
 	h.sendSome()
 }
@@ -237,7 +240,7 @@
 
 func (h *holder) drain(m *machine, why string) {
 	m.draining, m.drainAt = why, h.c.now
-	h.c.statusUp = true
+	h.c.statusSoon = true
 	h.dirty = true
 	h.c.log(levelInfo, "machine drains", "machine", m.id, "why", why, "attempts", len(m.attempts))
 }
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -74,7 +74,7 @@
 					}
 					if r.answers--; r.answers == 0 {
 						r.endedAt = c.now
-						c.statusUp = true
+						c.statusSoon = true
 					}
 				})
 			}
@@ -196,7 +196,7 @@
 			v.lost = 0
 		case v.lost == 0 && v.up > fewMachines:
 			v.lost = now
-			h.c.statusUp = true
+			h.c.statusSoon = true
 			h.c.log(levelInfo, "zone is not heard", "zone", zone, "machines", v.up)
 		}
 	}
--- a/internal/coordination/reclaim.go
+++ b/internal/coordination/reclaim.go
@@ -130,7 +130,7 @@
 
 // reclaimable tells whether an attempt may be stopped for a job.
 func (h *holder) reclaimable(r ranked, a *attempt, borrowed map[string]int64, limited bool) bool {
-	if a.state == Exited || a.stop || !a.shown || a.open+a.lost > 0 || a.j == nil || a.j == r.j || a.j.sure || a.j.spared.Has(a.id.Task) {
+	if a.state == Exited || a.stop || !a.shown || a.open+a.lost > 0 || a.j == nil || a.j == r.j || a.j.wasGuaranteed || a.j.spared.Has(a.id.Task) {
 		return false
 	}
 	if limited {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -207,7 +207,7 @@
 		h.emptied(m)
 		m.known = known
 	}
-	m.session = session
+	m.session, m.sessionAt = session, h.c.now
 	m.floor, m.floorNew, m.floorAt = 0, 0, h.c.now
 	m.expired = false
 	h.dirty = true
@@ -309,7 +309,7 @@
 		m.useImage(a.j.Image, a.j.ImageGB)
 	}
 	switch {
-	case a.j.calledOff:
+	case a.j.cancelRequested:
 		h.killAdopted(a)
 	case a.j.finished(t.Task):
 		h.stop(a, 0)
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -16,9 +16,9 @@
 	// planPart bounds the part of the time that is spent on it: the next plan comes
 	// this many times as late as the last one took.
 	planPart = 20
-	// planAnyway is how often they are rebuilt without a change: estimates of
+	// maxPlanInterval is how often they are rebuilt without a change: estimates of
 	// running tasks run out, and slots come due.
-	planAnyway = 1000 * micros.Millisecond
+	maxPlanInterval = 1000 * micros.Millisecond
 	// planTasks bounds the tasks placed in one plan; the rest wait in index order.
 	planTasks = 2000
 )
@@ -28,18 +28,18 @@
 	j *job
 	q *plan.Queued
 	// guaranteed work does not wait on other teams' borrowed capacity.
-	guaranteed bool
-	pressed    bool // its class's tasks are to have begun soon
+	guaranteed    bool
+	nearObjective bool // its class's tasks are to have begun soon
 }
 
 // schedule plans the waiting tasks and starts those whose slot is now.
 func (h *holder) schedule() {
 	now := h.c.now
-	if h.c.catalog == nil || now-h.planAt < h.planPause || (!h.dirty && now-h.planAt < planAnyway) {
+	if h.c.catalog == nil || now-h.planAt < h.planPause || (!h.dirty && now-h.planAt < maxPlanInterval) {
 		return
 	}
 	h.planAt, h.dirty = now, false
-	h.heirs = nil
+	h.inherited = nil
 	h.c.planned = h
 	clear(h.noRoom)
 	h.replicas = 0
@@ -49,8 +49,8 @@
 		}
 	}
 	silent := slices.ContainsFunc(h.machines, func(m *machine) bool { return !m.known })
-	if !silent && !h.knew {
-		h.knew = true
+	if !silent && !h.allKnown {
+		h.allKnown = true
 		h.c.log(levelInfo, "all machines known", "queue", h.queue, "after_ms", (now-h.taken)/micros.Millisecond)
 	}
 
@@ -68,7 +68,7 @@
 	}
 	needs = mergeNeeds(needs)
 	if len(needs) > 0 && !slices.EqualFunc(needs, h.needs, sameNeed) {
-		h.c.statusUp = true // the leader is to hear of them soon
+		h.c.statusSoon = true // the leader is to hear of them soon
 	}
 	h.needs = needs
 	if !silent {
@@ -86,7 +86,7 @@
 	var queue []*plan.Queued
 	for _, j := range h.order {
 		j.est = 0
-		if j.waiting.Len() == 0 || j.pause > now || j.calledOff || j.blocked {
+		if j.waiting.Len() == 0 || j.pause > now || j.cancelRequested || j.blocked {
 			continue
 		}
 		// Tasks of a job older than the lease may run on any machine that is not
@@ -94,8 +94,8 @@
 		if silent && j.version < h.since {
 			continue
 		}
-		r := ranked{j, h.queued(j), h.guaranteed(j), h.pressed(j)}
-		j.sure = j.sure || r.guaranteed
+		r := ranked{j, h.queued(j), h.guaranteed(j), h.nearObjective(j)}
+		j.wasGuaranteed = j.wasGuaranteed || r.guaranteed
 		if j.Kind == bookkeeping.Service {
 			services = append(services, r)
 		} else {
@@ -116,9 +116,9 @@
 	switch {
 	case a.guaranteed != b.guaranteed:
 		return first(a.guaranteed)
-	case a.pressed != b.pressed:
-		return first(a.pressed)
-	case a.pressed:
+	case a.nearObjective != b.nearObjective:
+		return first(a.nearObjective)
+	case a.nearObjective:
 		return cmp.Compare(a.j.ready, b.j.ready)
 	}
 	return cmp.Compare(b.q.Index, a.q.Index)
@@ -132,12 +132,12 @@
 	return 1
 }
 
-// pressed tells whether a job is in the last part of the time within which its
+// nearObjective tells whether a job is in the last part of the time within which its
 // class's objectives want its tasks begun, or it finished. Exception to the design:
 // the index ranks what is long and late behind all that is short, so that under load
 // such a job begins last of all, and then long after these times. Past them nothing
 // is gained any more, and the index decides again.
-func (h *holder) pressed(j *job) bool {
+func (h *holder) nearObjective(j *job) bool {
 	age := h.c.wall - j.ready
 	for _, o := range h.c.cfg.Settings.Objectives {
 		if o.Class != j.Class {
@@ -233,7 +233,7 @@
 // deadline takes d = arrival + 2p.
 func (h *holder) queued(j *job) *plan.Queued {
 	p := h.estimate(j)
-	after := h.inherit(j.ID)
+	after := h.inheritFrom(j.ID)
 	q := &plan.Queued{Weight: plan.Weight(max(j.Priority, after.priority)), P: p, Count: j.waiting.Len()}
 	due := micros.Max // time of day
 	if j.Deadline > 0 {
@@ -312,7 +312,9 @@
 		return false
 	}
 	if m.session != 0 {
-		return m.known && !m.expired && h.c.now-m.seen < h.silence() // about to be usable
+		// About to be usable. One that has just booted was not reached yet: counted as
+		// missing for that moment, it would be rented once more, at every boot.
+		return m.known && !m.expired && h.c.now-max(m.seen, m.sessionAt) < h.silence()
 	}
 	return !m.block.Used && !h.zoneLost(m.block.Zone) && h.c.now-m.added < m.kind.Boot*3/2
 }
--- a/internal/coordination/surplus.go
+++ b/internal/coordination/surplus.go
@@ -161,17 +161,17 @@
 		surplus = idle[n-1]
 	}
 	for _, m := range h.machines {
-		keep := micros.Time(h.c.cfg.Operator.IdleKeepS) * micros.Second
+		keep, takesOver := micros.Time(h.c.cfg.Operator.IdleKeepS)*micros.Second, false
 		if !m.block.Spot {
 			keep /= 3 // ordinary machines cost more; arrays mostly need not wait for them
 			if large != nil && m.kind != nil && m.kind.Capacity.CPU < large.kind.Capacity.CPU {
 				// It is there to take over from the large one once the others rented
 				// for that have booted; returned before, it would be rented anew, and
 				// the large one never be given up.
-				keep = 3 * m.kind.Boot
+				keep, takesOver = 3*m.kind.Boot, true
 			}
 		}
-		if m.idle <= surplus {
+		if m.idle <= surplus && !takesOver {
 			keep = min(keep, surplusKeep)
 		}
 		if !h.usable(m) || m.idle == 0 || h.c.now-m.idle < keep || !h.vacant(m) ||
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -20,7 +20,7 @@
 // final answers from what can never change, if it is known.
 func (c *Core) final(req RequestID, id string) bool {
 	e := c.replica.Jobs[id]
-	if e == nil || (e.Job.Phase == bookkeeping.Active && !e.Doomed) {
+	if e == nil || (e.Job.Phase == bookkeeping.Active && !e.CancelledBefore) {
 		return false
 	}
 	c.answer(Answer{Request: req, Kind: View, Job: c.view(e)})
@@ -29,7 +29,7 @@
 
 func (c *Core) view(e *storage.JobEntry) JobView {
 	v := JobView{ID: e.Job.ID, Phase: e.Job.Phase}
-	if e.Doomed {
+	if e.CancelledBefore {
 		v.Phase = bookkeeping.Cancelled
 	}
 	switch v.Phase {
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -288,17 +288,17 @@
 	}
 }
 
-// writeDoomed writes down that jobs are cancelled with one before them, one at a time:
+// writeCancelledBefore writes down that jobs are cancelled with one before them, one at a time:
 // every controller says so already.
-func (h *holder) writeDoomed() {
-	if len(h.doomed) == 0 || h.dooming || h.c.now < h.doomAt {
+func (h *holder) writeCancelledBefore() {
+	if len(h.cancelledBefore) == 0 || h.writingCancelled || h.c.now < h.writeCancelledAt {
 		return
 	}
 	r := &storage.Request{Kind: storage.Commit, Conditions: []storage.Condition{{Key: h.c.keys.Queue(h.queue), Version: h.token}}}
-	for _, id := range slices.Sorted(maps.Keys(h.doomed)) {
+	for _, id := range slices.Sorted(maps.Keys(h.cancelledBefore)) {
 		e := h.c.replica.Jobs[id]
 		if e == nil || e.Job.Phase != bookkeeping.Active {
-			delete(h.doomed, id)
+			delete(h.cancelledBefore, id)
 			continue
 		}
 		if len(r.Puts) < h.c.cfg.Settings.StateLimits().TxnOps {
@@ -309,37 +309,37 @@
 	if len(r.Puts) == 0 {
 		return
 	}
-	h.doomAt = h.c.now + 300*micros.Millisecond
-	h.dooming = h.c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) { h.dooming = false })
+	h.writeCancelledAt = h.c.now + 300*micros.Millisecond
+	h.writingCancelled = h.c.callState(r, storage.Patient, stateTimeout, func(*storage.Reply) { h.writingCancelled = false })
 }
 
 // startSlack is what the start of a task takes besides its image.
 const startSlack = 2 * micros.Second
 
-// heir is what a job must meet for those that wait on it.
-type heir struct {
+// inheritance is what a job must meet for those that wait on it.
+type inheritance struct {
 	due      micros.Time // time of day; micros.Max: none
 	priority bookkeeping.Priority
 }
 
-// inherit works back from the jobs after one: it has to be done early enough for what is
+// inheritFrom works back from the jobs after one: it has to be done early enough for what is
 // still expected to run after it, its image and start included, and it has the priority
 // of any job that needs it. Exception to the design, whose tasks are independent and have
 // due dates of their own: users set them on the last job only.
-func (h *holder) inherit(id string) heir {
-	out := heir{due: micros.Max}
+func (h *holder) inheritFrom(id string) inheritance {
+	out := inheritance{due: micros.Max}
 	if len(h.c.replica.Needed[id]) == 0 {
 		return out
 	}
-	if got, ok := h.heirs[id]; ok {
+	if got, ok := h.inherited[id]; ok {
 		return got
 	}
 	for dep := range h.c.replica.Needed[id] {
 		e := h.c.replica.Jobs[dep]
-		if e == nil || e.Job.Phase != bookkeeping.Active || e.Doomed {
+		if e == nil || e.Job.Phase != bookkeeping.Active || e.CancelledBefore {
 			continue
 		}
-		after := h.inherit(dep)
+		after := h.inheritFrom(dep)
 		due := after.due
 		if e.Job.Deadline > 0 {
 			due = min(due, e.Job.Submitted+e.Job.Deadline)
@@ -350,10 +350,10 @@
 		}
 		out.priority = max(out.priority, after.priority, e.Job.Priority)
 	}
-	if h.heirs == nil {
-		h.heirs = map[string]heir{}
+	if h.inherited == nil {
+		h.inherited = map[string]inheritance{}
 	}
-	h.heirs[id] = out
+	h.inherited[id] = out
 	return out
 }
 
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -80,19 +80,19 @@
 
 // JobEntry is a job with its finished tasks as stored.
 type JobEntry struct {
-	Job        *bookkeeping.Job
-	Version    uint64
-	Finished   *bookkeeping.TaskSet // nil: none
-	FinVersion map[int]uint64       // by chunk or part
-	Waits      []string             // jobs that must be done first
-	Partial    bool                 // its list of them is not whole here
-	Doomed     bool                 // one of them, or one before it, is cancelled
+	Job             *bookkeeping.Job
+	Version         uint64
+	Finished        *bookkeeping.TaskSet // nil: none
+	FinVersion      map[int]uint64       // by chunk or part
+	Waits           []string             // jobs that must be done first
+	Partial         bool                 // its list of them is not whole here
+	CancelledBefore bool                 // one of them, or one before it, is cancelled
 }
 
 // Cancelled tells whether the job is cancelled: by itself, or with one before it. That
 // is a function of records, so every controller says the same, and it never goes back:
 // a needed job that is cancelled is never done.
-func (e *JobEntry) Cancelled() bool { return e.Job.Phase == bookkeeping.Cancelled || e.Doomed }
+func (e *JobEntry) Cancelled() bool { return e.Job.Phase == bookkeeping.Cancelled || e.CancelledBefore }
 
 // Keys builds the keys below a prefix.
 type Keys struct{ Prefix string }
@@ -417,7 +417,7 @@
 		}
 	}
 	delete(r.orphans, id)
-	r.follow(id, e)
+	r.trackNeeds(id, e)
 	return true, nil
 }
 
--- a/internal/storage/waits.go
+++ b/internal/storage/waits.go
@@ -50,11 +50,11 @@
 	return t
 }
 
-// follow keeps up who waits on whom after a job's record changed.
-func (r *Replica) follow(id string, e *JobEntry) {
+// trackNeeds keeps up who waits on whom after a job's record changed.
+func (r *Replica) trackNeeds(id string, e *JobEntry) {
 	if e.Job.Phase != bookkeeping.Active {
-		r.unfollow(id, e)
-		r.tell(id, e.Cancelled())
+		r.untrackNeeds(id, e)
+		r.notifyDependents(id, e.Cancelled())
 		return
 	}
 	if !e.Job.Waits() || len(e.Waits) > 0 {
@@ -82,14 +82,14 @@
 	}
 	for _, w := range e.Waits {
 		if r.isCancelled(w) {
-			r.doom(id)
+			r.cancelDependents(id)
 			return
 		}
 	}
 }
 
-// unfollow forgets what a job waited on.
-func (r *Replica) unfollow(id string, e *JobEntry) {
+// untrackNeeds forgets what a job waited on.
+func (r *Replica) untrackNeeds(id string, e *JobEntry) {
 	for _, w := range e.Waits {
 		delete(r.Needed[w], id)
 		if len(r.Needed[w]) == 0 {
@@ -100,31 +100,31 @@
 	}
 	e.Waits, e.Partial = nil, false
 	if e.Job.Phase == bookkeeping.Done {
-		e.Doomed = false
+		e.CancelledBefore = false
 	}
 }
 
-// tell lets the jobs that name a job know that it is over.
-func (r *Replica) tell(id string, cancelled bool) {
+// notifyDependents lets the jobs that name a job know that it is over.
+func (r *Replica) notifyDependents(id string, cancelled bool) {
 	for dep := range r.Needed[id] {
 		if cancelled {
-			r.doom(dep)
+			r.cancelDependents(dep)
 		} else {
 			r.touched = append(r.touched, dep)
 		}
 	}
 }
 
-// doom notes that a job before this one is cancelled, so that it is, and all after it.
-func (r *Replica) doom(id string) {
+// cancelDependents notes that a job before this one is cancelled, so that it is, and all after it.
+func (r *Replica) cancelDependents(id string) {
 	todo := []string{id}
 	for len(todo) > 0 {
 		id, todo = todo[len(todo)-1], todo[:len(todo)-1]
 		e := r.Jobs[id]
-		if e == nil || e.Doomed || e.Job.Phase != bookkeeping.Active {
+		if e == nil || e.CancelledBefore || e.Job.Phase != bookkeeping.Active {
 			continue
 		}
-		e.Doomed = true
+		e.CancelledBefore = true
 		r.touched = append(r.touched, id)
 		for dep := range r.Needed[id] {
 			todo = append(todo, dep)
@@ -142,7 +142,7 @@
 // gone notes that a job's record was moved away: what it came to stays known while an
 // unfinished job names it.
 func (r *Replica) gone(id string, e *JobEntry) {
-	r.unfollow(id, e)
+	r.untrackNeeds(id, e)
 	if len(r.Needed[id]) > 0 && e.Job.Phase != bookkeeping.Active {
 		r.Past[id] = e.Job.Phase
 	}
@@ -156,7 +156,7 @@
 	}
 	r.Past[id] = p
 	delete(r.missing, id)
-	r.tell(id, p == bookkeeping.Cancelled)
+	r.notifyDependents(id, p == bookkeeping.Cancelled)
 }
 
 // Blocked tells whether a job has to wait for others, and names one of which nothing is
@@ -235,7 +235,7 @@
 	r.parts[list][n] = waitPart{refs, it.Version}
 	job, _, _ := strings.Cut(list, "/")
 	if e := r.Jobs[job]; e != nil && e.Partial {
-		r.follow(job, e)
+		r.trackNeeds(job, e)
 		r.touched = append(r.touched, job)
 	}
 	return true, nil
