--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -17,13 +17,12 @@
 	kind    *bookkeeping.MachineType
 	addr    string
 	session uint64
-	// sessionAt is when the session was first heard of; nothing may have reached the
-	// machine by then.
-	sessionAt micros.Time
-	seq       uint64
-	ack       uint64 // highest token it reported
-	known     bool   // its tasks are known, or it surely has none
-	expired   bool   // its lease ran out, or its session is over: empty until it reports
+	// booted is when its first session was heard of; nothing may have reached it by then.
+	booted  micros.Time
+	seq     uint64
+	ack     uint64 // highest token it reported
+	known   bool   // its tasks are known, or it surely has none
+	expired bool   // its lease ran out, or its session is over: empty until it reports
 
 	added micros.Time
 	// seen is when something last showed that our messages reach it: a report
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -206,8 +206,10 @@
 		known := m.known
 		h.emptied(m)
 		m.known = known
+	} else {
+		m.booted = h.c.now
 	}
-	m.session, m.sessionAt = session, h.c.now
+	m.session = session
 	m.floor, m.floorNew, m.floorAt = 0, 0, h.c.now
 	m.expired = false
 	h.dirty = true
--- a/internal/coordination/room.go
+++ b/internal/coordination/room.go
@@ -245,7 +245,7 @@
 	roomOn := map[*machine]int{}
 	for _, m := range h.machines {
 		if m == without || m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) ||
-			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (!booting || !h.expected(m))) {
+			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (!booting || !h.expected(m) && !h.justBooted(m))) {
 			continue
 		}
 		free := m.kind.Capacity
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -312,13 +312,18 @@
 		return false
 	}
 	if m.session != 0 {
-		// About to be usable. One that has just booted was not reached yet: counted as
-		// missing for that moment, it would be rented once more, at every boot.
-		return m.known && !m.expired && h.c.now-max(m.seen, m.sessionAt) < h.silence()
+		return m.known && !m.expired && h.c.now-m.seen < h.silence() // about to be usable
 	}
 	return !m.block.Used && !h.zoneLost(m.block.Zone) && h.c.now-m.added < m.kind.Boot*3/2
 }
 
+// justBooted tells whether a machine reported for the first time a moment ago, so that
+// nothing has reached it yet. The spare room for services counts it: missing for that
+// moment, it would be rented once more at every boot, and another be given back.
+func (h *holder) justBooted(m *machine) bool {
+	return m.draining == "" && m.notice == 0 && m.known && !m.expired && m.booted != 0 && h.c.now-m.booted < h.silence()
+}
+
 // remaining is how much longer an attempt is expected to take its room.
 func (h *holder) remaining(a *attempt) micros.Time {
 	switch {
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -327,178 +327,230 @@
 	return what
 }
 
-var actions = map[string]bool{"submit": true, "resubmit": true, "cancel": true, "strangers": true, "crash": true, "start": true, "roll": true,
-	"cancel-now": true, "cancel-at-end": true, "odd": true, "looks": true,
-	"pause": true, "cut": true, "alone": true, "state": true, "cloud": true, "worker": true}
+// actions are what a line may do, by its first word.
+var actions map[string]func(*World, *line)
+
+func init() { // the functions refer to the table
+	actions = map[string]func(*World, *line){
+		"submit":        (*World).actSubmit,
+		"resubmit":      (*World).actResubmit,
+		"cancel":        (*World).actCancel,
+		"cancel-now":    (*World).actCancelNow,
+		"cancel-at-end": (*World).actCancelAtEnd,
+		"odd":           (*World).actOdd,
+		"looks":         (*World).actLooks,
+		"strangers":     (*World).actStrangers,
+		"crash":         (*World).actCrash,
+		"start":         (*World).actStart,
+		"roll":          (*World).actRoll,
+		"pause":         (*World).actPause,
+		"alone":         (*World).actAlone,
+		"cut":           (*World).actCut,
+		"state":         (*World).actState,
+		"cloud":         (*World).actCloud,
+		"worker":        (*World).actWorker,
+	}
+}
 
 func (w *World) known(l *line) error {
-	if !actions[l.word(0)] {
+	if actions[l.word(0)] == nil {
 		return fmt.Errorf("unknown action %q", l.word(0))
 	}
 	return nil
 }
 
+// lengthOf is how long a trouble lasts.
+func lengthOf(l *line) micros.Time { return l.secs("for", 10) }
+
+// harmless actions bring no trouble, so nothing has to calm down after them.
+var harmless = map[string]bool{"submit": true, "resubmit": true, "cancel": true, "strangers": true, "looks": true, "odd": true}
+
 // act carries out one line.
 func (w *World) act(l *line) {
-	length := l.secs("for", 10)
-	switch l.word(0) {
-	case "submit", "resubmit", "cancel", "strangers", "looks", "odd":
-	default:
-		end := length + l.secs("back", 0) + l.secs("by", 0) + l.secs("notice", 0)
+	if !harmless[l.word(0)] {
+		end := lengthOf(l) + l.secs("back", 0) + l.secs("by", 0) + l.secs("notice", 0)
 		if l.word(0) == "roll" {
 			end += micros.Time(len(w.nodes)) * l.secs("every", 10)
 		}
 		w.calm = max(w.calm, w.now+end)
 	}
-	switch l.word(0) {
-	case "submit":
-		w.actSubmit(l)
-	case "resubmit":
-		if j := w.users.jobs[l.word(1)]; j != nil {
-			if len(l.set) > 0 { // with other words than the first time
-				j.body = w.users.parse(j.ref, l.set).body
-			}
-			w.users.submit(j)
-		}
-	case "cancel":
-		for i := range int(l.num("jobs", 1)) {
-			n, _ := strconv.Atoi(strings.TrimPrefix(l.word(1), "wk-"))
-			if j := w.users.jobs[fmt.Sprintf("wk-%06d", n+i)]; j != nil {
-				for _, n := range w.nodesFor(l.set["via"]) {
-					w.users.connectTo(j, n)
-				}
-				w.users.cancel(j)
-			}
+	actions[l.word(0)](w, l)
+}
+
+func (w *World) actResubmit(l *line) {
+	if j := w.users.jobs[l.word(1)]; j != nil {
+		if len(l.set) > 0 { // with other words than the first time
+			j.body = w.users.parse(j.ref, l.set).body
 		}
-	case "cancel-now":
-		w.users.cancelNow(int(l.num("n", 4)), l.secs("hang", 0))
-	case "cancel-at-end":
-		w.users.cancelShare, w.users.cancelUntil = l.num("share", 0.5), w.now+length
-	case "odd":
-		w.users.odd(w.now + length)
-	case "looks":
-		w.users.looksUntil = w.now + length
-	case "strangers":
-		for i := range int(l.num("n", 10)) {
-			w.after(micros.Time(i)*5*micros.Millisecond, func() { w.users.stranger(fmt.Sprintf("wk-9%05d", i)) })
-		}
-	case "crash":
-		for _, n := range w.nodesFor(l.word(1)) {
-			n.crash()
-			if l.set["back"] != "" {
-				w.after(l.secs("back", 3), n.start)
+		w.users.submit(j)
+	}
+}
+
+func (w *World) actCancel(l *line) {
+	for i := range int(l.num("jobs", 1)) {
+		n, _ := strconv.Atoi(strings.TrimPrefix(l.word(1), "wk-"))
+		if j := w.users.jobs[fmt.Sprintf("wk-%06d", n+i)]; j != nil {
+			for _, n := range w.nodesFor(l.set["via"]) {
+				w.users.connectTo(j, n)
 			}
+			w.users.cancel(j)
 		}
-	case "start":
-		for _, n := range w.nodesFor(l.word(1)) {
-			n.start()
-		}
-	case "roll":
-		for i, n := range w.nodes {
-			w.after(micros.Time(i)*l.secs("every", 10), func() {
-				n.crash()
-				if l.set["next"] != "" { // with settings that tell of smaller limits to come
-					n.conf = n.next
-				}
-				w.after(l.secs("back", 3), n.start)
-			})
-		}
-	case "pause":
-		for _, n := range w.nodesFor(l.word(1)) {
-			n.paused = true
-			life := n.life
-			w.after(length, func() {
-				if n.life == life && n.paused {
-					n.paused = false
-					in := n.inbox
-					n.inbox = nil
-					n.step(in...)
-				}
-			})
-		}
-	case "alone": // cut off from the state service and the other nodes, not from workers and users
-		for _, n := range w.nodesFor(l.word(1)) {
-			hold := l.word(2) == "hold"
-			w.startCut(&cut{a: n.name, b: "state", hold: hold}, length)
-			for _, o := range w.nodes {
-				if o != n {
-					w.startCut(&cut{a: n.name, b: o.name, hold: hold}, length)
-				}
-			}
+	}
+}
+
+func (w *World) actCancelNow(l *line) {
+	w.users.cancelNow(int(l.num("n", 4)), l.secs("hang", 0))
+}
+
+func (w *World) actCancelAtEnd(l *line) {
+	length := lengthOf(l)
+	w.users.cancelShare, w.users.cancelUntil = l.num("share", 0.5), w.now+length
+}
+
+func (w *World) actOdd(l *line) {
+	length := lengthOf(l)
+	w.users.odd(w.now + length)
+}
+
+func (w *World) actLooks(l *line) {
+	length := lengthOf(l)
+	w.users.looksUntil = w.now + length
+}
+
+func (w *World) actStrangers(l *line) {
+	for i := range int(l.num("n", 10)) {
+		w.after(micros.Time(i)*5*micros.Millisecond, func() { w.users.stranger(fmt.Sprintf("wk-9%05d", i)) })
+	}
+}
+
+func (w *World) actCrash(l *line) {
+	for _, n := range w.nodesFor(l.word(1)) {
+		n.crash()
+		if l.set["back"] != "" {
+			w.after(l.secs("back", 3), n.start)
 		}
-	case "cut":
-		hold := l.word(len(l.words)-1) == "hold"
-		var ends [2][]string
-		for i := range 2 {
-			what := l.word(i + 1)
-			if what == "" || (hold && what == "hold") {
-				ends[i] = []string{""}
-				continue
-			}
-			if what = w.zoneWord(what); w.zoned && strings.HasPrefix(what, "zone-") {
-				ends[i] = []string{what}
-				continue
-			}
-			for _, n := range w.nodesFor(what) {
-				ends[i] = append(ends[i], n.name)
+	}
+}
+
+func (w *World) actStart(l *line) {
+	for _, n := range w.nodesFor(l.word(1)) {
+		n.start()
+	}
+}
+
+func (w *World) actRoll(l *line) {
+	for i, n := range w.nodes {
+		w.after(micros.Time(i)*l.secs("every", 10), func() {
+			n.crash()
+			if l.set["next"] != "" { // with settings that tell of smaller limits to come
+				n.conf = n.next
 			}
-			for _, m := range w.cloud.pick(what) {
-				ends[i] = append(ends[i], m.name)
+			w.after(l.secs("back", 3), n.start)
+		})
+	}
+}
+
+func (w *World) actPause(l *line) {
+	length := lengthOf(l)
+	for _, n := range w.nodesFor(l.word(1)) {
+		n.paused = true
+		life := n.life
+		w.after(length, func() {
+			if n.life == life && n.paused {
+				n.paused = false
+				in := n.inbox
+				n.inbox = nil
+				n.step(in...)
 			}
-			if len(ends[i]) == 0 {
-				ends[i] = []string{what}
+		})
+	}
+}
+
+func (w *World) actAlone(l *line) {
+	length := lengthOf(l)
+	for _, n := range w.nodesFor(l.word(1)) {
+		hold := l.word(2) == "hold"
+		w.startCut(&cut{a: n.name, b: "state", hold: hold}, length)
+		for _, o := range w.nodes {
+			if o != n {
+				w.startCut(&cut{a: n.name, b: o.name, hold: hold}, length)
 			}
 		}
-		for _, a := range ends[0] {
-			for _, b := range ends[1] {
-				if a != b {
-					w.startCut(&cut{a: a, b: b, hold: hold}, length)
-				}
+	}
+}
+
+func (w *World) actCut(l *line) {
+	length := lengthOf(l)
+	hold := l.word(len(l.words)-1) == "hold"
+	var ends [2][]string
+	for i := range 2 {
+		what := l.word(i + 1)
+		if what == "" || (hold && what == "hold") {
+			ends[i] = []string{""}
+			continue
+		}
+		if what = w.zoneWord(what); w.zoned && strings.HasPrefix(what, "zone-") {
+			ends[i] = []string{what}
+			continue
+		}
+		for _, n := range w.nodesFor(what) {
+			ends[i] = append(ends[i], n.name)
+		}
+		for _, m := range w.cloud.pick(what) {
+			ends[i] = append(ends[i], m.name)
+		}
+		if len(ends[i]) == 0 {
+			ends[i] = []string{what}
+		}
+	}
+	for _, a := range ends[0] {
+		for _, b := range ends[1] {
+			if a != b {
+				w.startCut(&cut{a: a, b: b, hold: hold}, length)
 			}
 		}
-	case "state":
-		w.actState(l, length)
-	case "cloud":
-		w.actCloud(l, length)
-	case "worker":
-		for _, m := range w.cloud.pick(l.word(1)) {
-			switch l.word(2) {
-			case "die":
-				m.vanish()
-			case "hang":
-				m.hang(length)
-			case "sick":
-				m.sick = true
-			case "oneway": // its reports arrive, nothing reaches it
-				w.startCut(&cut{a: m.name, into: true}, length)
-			case "mute": // it reaches no controller; direct commands reach it
-				m.mute = true
-				w.after(length, func() { m.mute = false })
-			case "stubborn": // its tasks do not end when they are stopped
-				m.stubborn = true
-				w.after(length, func() { m.stubborn = false })
-			case "kept": // its reports come again when a queue gets a new holder
-				m.keptUntil = w.now + length
-			case "copies":
-				m.copies, m.copyBy, m.copyUntil = int(l.num("n", 1)), l.secs("by", 8), w.now+length
-			case "restart":
-				m.restart(l.secs("back", 0.3))
-			case "late":
-				m.late = l.secs("by", 8)
-				w.after(length, func() { m.late = 0 })
-			case "slow":
-				m.speed *= l.num("factor", 3)
-			case "take":
-				notice := l.secs("notice", 0)
-				if notice > 0 {
-					m.recall = w.now + notice
-					m.changed()
-				}
-				w.after(notice, func() {
-					m.vanish()
-					m.deleted = true
-				})
+	}
+}
+
+func (w *World) actWorker(l *line) {
+	length := lengthOf(l)
+	for _, m := range w.cloud.pick(l.word(1)) {
+		switch l.word(2) {
+		case "die":
+			m.vanish()
+		case "hang":
+			m.hang(length)
+		case "sick":
+			m.sick = true
+		case "oneway": // its reports arrive, nothing reaches it
+			w.startCut(&cut{a: m.name, into: true}, length)
+		case "mute": // it reaches no controller; direct commands reach it
+			m.mute = true
+			w.after(length, func() { m.mute = false })
+		case "stubborn": // its tasks do not end when they are stopped
+			m.stubborn = true
+			w.after(length, func() { m.stubborn = false })
+		case "kept": // its reports come again when a queue gets a new holder
+			m.keptUntil = w.now + length
+		case "copies":
+			m.copies, m.copyBy, m.copyUntil = int(l.num("n", 1)), l.secs("by", 8), w.now+length
+		case "restart":
+			m.restart(l.secs("back", 0.3))
+		case "late":
+			m.late = l.secs("by", 8)
+			w.after(length, func() { m.late = 0 })
+		case "slow":
+			m.speed *= l.num("factor", 3)
+		case "take":
+			notice := l.secs("notice", 0)
+			if notice > 0 {
+				m.recall = w.now + notice
+				m.changed()
 			}
+			w.after(notice, func() {
+				m.vanish()
+				m.deleted = true
+			})
 		}
 	}
 }
@@ -543,7 +595,8 @@
 	w.after(5*micros.Millisecond, func() { w.whenAccepted(j, then) })
 }
 
-func (w *World) actState(l *line, length micros.Time) {
+func (w *World) actState(l *line) {
+	length := lengthOf(l)
 	s := w.state
 	share, _ := strconv.ParseFloat(l.word(2), 64)
 	switch l.word(1) {
@@ -574,7 +627,8 @@
 	}
 }
 
-func (w *World) actCloud(l *line, length micros.Time) {
+func (w *World) actCloud(l *line) {
+	length := lengthOf(l)
 	c := w.cloud
 	v, _ := strconv.ParseFloat(l.word(2), 64)
 	switch l.word(1) {
@@ -608,129 +662,228 @@
 	}
 }
 
+// expectations are what may be expected, by the word after "expect".
+var expectations = map[string]func(*World, *line, *userJob) string{
+	"done":          (*World).expectDone,
+	"cancelled":     (*World).expectCancelled,
+	"refused":       (*World).expectRefused,
+	"accepted":      (*World).expectAccepted,
+	"started":       (*World).expectStarted,
+	"off":           (*World).expectOff,
+	"done-within":   (*World).expectDoneWithin,
+	"vain":          (*World).expectVain,
+	"never-started": (*World).expectNeverStarted,
+	"never":         (*World).expectNeverStarted,
+	"up":            (*World).expectUp,
+	"starts":        (*World).expectStarts,
+	"machines":      (*World).expectMachines,
+	"all-known":     (*World).expectAllKnown,
+	"rented":        (*World).expectRented,
+	"gone":          (*World).expectGone,
+	"takeovers":     (*World).expectTakeovers,
+	"lost":          (*World).expectLost,
+	"kept":          (*World).expectKept,
+	"too-large":     (*World).expectTooLarge,
+	"told":          (*World).expectTold,
+	"holders":       (*World).expectHolders,
+}
+
 // expect says why an expectation is not met, or nothing.
 func (w *World) expect(l *line) string {
-	what, ref := l.word(1), l.word(2)
+	ref := l.word(2)
 	j := w.users.jobs[ref]
 	if strings.HasPrefix(ref, "wk-") && j == nil {
 		return "no such job"
 	}
-	switch what {
-	case "done":
-		if ref == "all" {
-			if open := w.users.open(); len(open) > 0 {
-				return fmt.Sprintf("%d are not: %v", len(open), open[:min(5, len(open))])
-			}
-			return ""
-		}
-		if !j.toldDone {
-			return fmt.Sprintf("%d of %d tasks done, told %q", len(j.done), j.shards, j.lastPhase)
-		}
-	case "cancelled":
-		if j.cancelled == 0 {
-			return "not cancelled, told " + j.lastPhase
-		}
-	case "refused":
-		if strconv.Itoa(j.refused) != l.word(3) {
-			return fmt.Sprintf("answered %d", j.refused)
-		}
-	case "accepted":
-		if j.accepted == 0 || j.accepted-j.first > l.secs("within", 60) {
-			return fmt.Sprintf("accepted after %v s", micros.Seconds(j.accepted-j.first))
-		}
-	case "started":
-		if j.firstStart == 0 || j.firstStart-j.first > l.secs("within", 60) {
-			return fmt.Sprintf("started after %v s", micros.Seconds(j.firstStart-j.first))
-		}
-	case "off": // no task on a machine any more, after its user was told
-		if j.cancelled == 0 || j.offAfter > l.secs("within", 5) {
-			return fmt.Sprintf("its last task was on a machine %v s after", micros.Seconds(j.offAfter))
-		}
-	case "done-within":
-		if j.doneAt == 0 || j.doneAt-j.first > l.secs("within", 60) {
-			if j.doneAt == 0 {
-				return "not done"
-			}
-			return fmt.Sprintf("done after %v s", micros.Seconds(j.doneAt-j.first))
-		}
-	case "vain": // starts sent to machines that nothing reaches
-		if float64(w.vain) > l.num("most", 0) {
-			return fmt.Sprintf("%d starts", w.vain)
-		}
-	case "never-started", "never":
-		if j.starts > 0 {
-			return fmt.Sprintf("%d starts", j.starts)
-		}
-	case "up": // replica time in seconds, at least
-		if got := micros.Seconds(j.replicaTime); got < l.num("least", 0) {
-			return fmt.Sprintf("%.1f s", got)
-		}
-	case "starts":
-		if float64(j.starts) > l.num("most", 1) {
-			return fmt.Sprintf("%d starts", j.starts)
-		}
-	case "machines":
-		n := 0
-		for _, m := range w.cloud.sorted() {
-			if !m.gone && !m.deleted {
-				n++
-			}
-		}
-		if float64(n) > l.num("most", 1e9) || float64(n) < l.num("least", 0) {
-			return fmt.Sprintf("%d machines", n)
-		}
-	case "all-known": // machines, by every new holder
-		if w.unknown == 0 || w.unknown > l.secs("within", 5) {
-			return fmt.Sprintf("after %v s", micros.Seconds(w.unknown))
-		}
-	case "rented": // machines, ever
-		if n := float64(len(w.cloud.machines)); n > l.num("most", 1e9) {
-			return fmt.Sprintf("%v machines", n)
-		}
-	case "gone": // a machine
-		if m := w.cloud.machines[ref]; m == nil || !m.deleted {
-			return "it is there"
-		}
-	case "takeovers": // how often a queue got a holder
-		if float64(w.taken) > l.num("most", 1e9) || float64(w.taken) < l.num("least", 0) {
-			return strconv.Itoa(w.taken)
-		}
-	case "lost": // starts beyond one a task, of all jobs that were not cancelled
-		n := 0
-		for _, j := range w.users.jobs {
-			if j.cancelled == 0 {
-				n += max(0, j.starts-len(j.done))
-			}
-		}
-		if float64(n) > l.num("most", 0) {
-			return strconv.Itoa(n)
+	check := expectations[l.word(1)]
+	if check == nil {
+		return "unknown expectation"
+	}
+	return check(w, l, j)
+}
+
+func (w *World) expectDone(l *line, j *userJob) string {
+	if l.word(2) == "all" {
+		if open := w.users.open(); len(open) > 0 {
+			return fmt.Sprintf("%d are not: %v", len(open), open[:min(5, len(open))])
 		}
-	case "kept": // jobs in the memory of any controller
-		for _, n := range w.nodes {
-			if n.up() && float64(n.core.Kept()) > l.num("most", 0) {
-				return fmt.Sprintf("%s keeps %d", n.name, n.core.Kept())
-			}
+		return ""
+	}
+	if !j.toldDone {
+		return fmt.Sprintf("%d of %d tasks done, told %q", len(j.done), j.shards, j.lastPhase)
+	}
+	return ""
+}
+
+func (w *World) expectCancelled(l *line, j *userJob) string {
+	if j.cancelled == 0 {
+		return "not cancelled, told " + j.lastPhase
+	}
+	return ""
+}
+
+func (w *World) expectRefused(l *line, j *userJob) string {
+	if strconv.Itoa(j.refused) != l.word(3) {
+		return fmt.Sprintf("answered %d", j.refused)
+	}
+	return ""
+}
+
+func (w *World) expectAccepted(l *line, j *userJob) string {
+	if j.accepted == 0 || j.accepted-j.first > l.secs("within", 60) {
+		return fmt.Sprintf("accepted after %v s", micros.Seconds(j.accepted-j.first))
+	}
+	return ""
+}
+
+func (w *World) expectStarted(l *line, j *userJob) string {
+	if j.firstStart == 0 || j.firstStart-j.first > l.secs("within", 60) {
+		return fmt.Sprintf("started after %v s", micros.Seconds(j.firstStart-j.first))
+	}
+	return ""
+}
+
+// expectOff: no task on a machine any more, after its user was told.
+func (w *World) expectOff(l *line, j *userJob) string {
+	if j.cancelled == 0 || j.offAfter > l.secs("within", 5) {
+		return fmt.Sprintf("its last task was on a machine %v s after", micros.Seconds(j.offAfter))
+	}
+	return ""
+}
+
+func (w *World) expectDoneWithin(l *line, j *userJob) string {
+	if j.doneAt == 0 || j.doneAt-j.first > l.secs("within", 60) {
+		if j.doneAt == 0 {
+			return "not done"
 		}
-	case "too-large": // requests to the state service that were refused for their size
-		if float64(w.state.tooLarge) > l.num("most", 0) {
-			return fmt.Sprintf("%d requests", w.state.tooLarge)
+		return fmt.Sprintf("done after %v s", micros.Seconds(j.doneAt-j.first))
+	}
+	return ""
+}
+
+// expectVain: starts sent to machines that nothing reaches.
+func (w *World) expectVain(l *line, j *userJob) string {
+	if float64(w.vain) > l.num("most", 0) {
+		return fmt.Sprintf("%d starts", w.vain)
+	}
+	return ""
+}
+
+func (w *World) expectNeverStarted(l *line, j *userJob) string {
+	if j.starts > 0 {
+		return fmt.Sprintf("%d starts", j.starts)
+	}
+	return ""
+}
+
+// expectUp: replica time in seconds, at least.
+func (w *World) expectUp(l *line, j *userJob) string {
+	if got := micros.Seconds(j.replicaTime); got < l.num("least", 0) {
+		return fmt.Sprintf("%.1f s", got)
+	}
+	return ""
+}
+
+func (w *World) expectStarts(l *line, j *userJob) string {
+	if float64(j.starts) > l.num("most", 1) {
+		return fmt.Sprintf("%d starts", j.starts)
+	}
+	return ""
+}
+
+func (w *World) expectMachines(l *line, j *userJob) string {
+	n := 0
+	for _, m := range w.cloud.sorted() {
+		if !m.gone && !m.deleted {
+			n++
 		}
-	case "told":
-		if j.lastPhase != l.word(3) {
-			return "told " + j.lastPhase
+	}
+	if float64(n) > l.num("most", 1e9) || float64(n) < l.num("least", 0) {
+		return fmt.Sprintf("%d machines", n)
+	}
+	return ""
+}
+
+// expectAllKnown: machines, by every new holder.
+func (w *World) expectAllKnown(l *line, j *userJob) string {
+	if w.unknown == 0 || w.unknown > l.secs("within", 5) {
+		return fmt.Sprintf("after %v s", micros.Seconds(w.unknown))
+	}
+	return ""
+}
+
+// expectRented: machines, ever.
+func (w *World) expectRented(l *line, j *userJob) string {
+	if n := float64(len(w.cloud.machines)); n > l.num("most", 1e9) {
+		return fmt.Sprintf("%v machines", n)
+	}
+	return ""
+}
+
+// expectGone: a machine.
+func (w *World) expectGone(l *line, j *userJob) string {
+	if m := w.cloud.machines[l.word(2)]; m == nil || !m.deleted {
+		return "it is there"
+	}
+	return ""
+}
+
+// expectTakeovers: how often a queue got a holder.
+func (w *World) expectTakeovers(l *line, j *userJob) string {
+	if float64(w.taken) > l.num("most", 1e9) || float64(w.taken) < l.num("least", 0) {
+		return strconv.Itoa(w.taken)
+	}
+	return ""
+}
+
+// expectLost: starts beyond one a task, of all jobs that were not cancelled.
+func (w *World) expectLost(l *line, j *userJob) string {
+	n := 0
+	for _, j := range w.users.jobs {
+		if j.cancelled == 0 {
+			n += max(0, j.starts-len(j.done))
 		}
-	case "holders":
-		got := map[string]bool{}
-		for _, m := range w.cloud.sorted() {
-			if m.booted && !m.gone {
-				got[m.steward] = true
-			}
+	}
+	if float64(n) > l.num("most", 0) {
+		return strconv.Itoa(n)
+	}
+	return ""
+}
+
+// expectKept: jobs in the memory of any controller.
+func (w *World) expectKept(l *line, j *userJob) string {
+	for _, n := range w.nodes {
+		if n.up() && float64(n.core.Kept()) > l.num("most", 0) {
+			return fmt.Sprintf("%s keeps %d", n.name, n.core.Kept())
 		}
-		if len(got) < int(l.num("least", 1)) {
-			return fmt.Sprintf("%v", got)
+	}
+	return ""
+}
+
+// expectTooLarge: requests to the state service that were refused for their size.
+func (w *World) expectTooLarge(l *line, j *userJob) string {
+	if float64(w.state.tooLarge) > l.num("most", 0) {
+		return fmt.Sprintf("%d requests", w.state.tooLarge)
+	}
+	return ""
+}
+
+func (w *World) expectTold(l *line, j *userJob) string {
+	if j.lastPhase != l.word(3) {
+		return "told " + j.lastPhase
+	}
+	return ""
+}
+
+func (w *World) expectHolders(l *line, j *userJob) string {
+	got := map[string]bool{}
+	for _, m := range w.cloud.sorted() {
+		if m.booted && !m.gone {
+			got[m.steward] = true
 		}
-	default:
-		return "unknown expectation"
+	}
+	if len(got) < int(l.num("least", 1)) {
+		return fmt.Sprintf("%v", got)
 	}
 	return ""
 }
