A former holder that is cut off no longer keeps its successor from renting

Now only siblings heard within 3 s count, as for the needs themselves. Ruled out: the cloud, capacity, open charters, the budget.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -181,7 +181,7 @@
 	var out []QueueStatus
 	for _, m := range sortedKeys(c.peers) {
 		p := c.peers[m]
-		if c.now-p.at > 3*micros.Second {
+		if c.now-p.at > statusLifetime {
 			continue
 		}
 		for _, q := range p.status.Queues {
--- a/internal/coordination/rentals.go
+++ b/internal/coordination/rentals.go
@@ -10,6 +10,9 @@
 	"pipitlatch/internal/storage"
 )
 
+// statusLifetime is how old what a sibling said of its queues may be to be acted on.
+const statusLifetime = 3 * micros.Second
+
 // rentPace is how long a round waits after the last one, unless that was refused
 // something.
 const rentPace = 700 * micros.Millisecond
@@ -34,7 +37,9 @@
 		return
 	}
 	for _, p := range c.peers {
-		if len(p.status.Queues) > 0 && p.status.Revision < l.closed {
+		// Only of those whose needs are looked at: a former holder that is cut off says
+		// nothing new for minutes, and nothing would be rented as long.
+		if c.now-p.at <= statusLifetime && len(p.status.Queues) > 0 && p.status.Revision < l.closed {
 			return // its needs are from before the last round
 		}
 	}
