Fleets of 4,000: silence, spare room, jobs counted once a tick, not once a machine

Cause: judging one machine's silence, its part of the spare room, or what a job has on it looked at every other machine; with a third of 4,000 silent, or all idle, that is the square of the fleet. Change: a census a tick, a survey of the spare room, attempts by job; cloud lists take a quarter of its limit at most; rounds of rentals grow with the fleet; messages between controllers, display of progress and the input queue bounded by settings; changes too many to read make the state be read anew.

--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -39,7 +39,7 @@
 `
 
 // fleetSizes are the numbers of machines that the benchmarks are run with.
-var fleetSizes = []int{400, 2000}
+var fleetSizes = []int{400, 1300, 4000}
 
 // newLarge is a core that leads and holds a queue of a number of machines, each
 // with eight running tasks, and has a tenth as many waiting jobs.
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -51,22 +51,24 @@
 	workerMost int        // how many may be, for lack of sockets
 	session
 	barrier
-	holders    map[int]*holder
-	ends       map[storage.Process]micros.Time // when a process was first known dead
-	peers      map[string]*peerView
-	cancelled  cancellations
-	lists      int                          // of needed jobs that were stored in parts
-	archive    map[string]*storage.JobEntry // records read from there
-	progress   map[string]JobProgress
-	leader     leaderState
-	stats      *bookkeeping.RunTimes
-	faults     *fleet.Faults
-	spot       spotLosses
-	reach      reach
-	planned    *holder // that planned in the last step
-	statusAt   micros.Time
-	statusSoon bool        // send the status soon
-	okAt       micros.Time // when the state service last answered in time
+	holders   map[int]*holder
+	ends      map[storage.Process]micros.Time // when a process was first known dead
+	peers     map[string]*peerView
+	cancelled cancellations
+	lists     int                          // of needed jobs that were stored in parts
+	archive   map[string]*storage.JobEntry // records read from there
+	progress  map[string]JobProgress
+	// progressKept is how many entries of progress were left when it was last bounded.
+	progressKept int
+	leader       leaderState
+	stats        *bookkeeping.RunTimes
+	faults       *fleet.Faults
+	spot         spotLosses
+	reach        reach
+	planned      *holder // that planned in the last step
+	statusAt     micros.Time
+	statusSoon   bool        // send the status soon
+	okAt         micros.Time // when the state service last answered in time
 }
 
 // spotLosses counts how often spot machines are taken.
@@ -385,14 +387,29 @@
 			c.shift(sh)
 		}
 	}
-	if len(c.progress) > 4096 {
-		clear(c.progress) // for display only
-	}
+	c.boundProgress()
 	for _, p := range s.Progress {
 		c.progress[p.ID] = p
 	}
 }
 
+// minProgress is how many jobs' progress is kept at least, for display.
+const minProgress = 4096
+
+// boundProgress forgets the progress of jobs that are over, once there is much of it: with
+// more active jobs than that all of theirs is kept.
+func (c *Core) boundProgress() {
+	if len(c.progress) <= max(minProgress, 2*c.progressKept) {
+		return
+	}
+	for id := range c.progress {
+		if e := c.replica.Jobs[id]; e == nil || e.Job.Phase != bookkeeping.Active {
+			delete(c.progress, id)
+		}
+	}
+	c.progressKept = len(c.progress)
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/internal/coordination/finished.go
+++ b/internal/coordination/finished.go
@@ -101,11 +101,9 @@
 // the workers may forget it.
 func (h *holder) stored(j *job, whole bool, written map[int]*bookkeeping.TaskSet) {
 	j.storeAt = h.c.now + partialEvery
-	for _, m := range h.machines {
-		for _, a := range m.attempts {
-			if a.j == j && a.state == Exited && (whole || wrote(written, a.id.Task)) {
-				a.stored = true
-			}
+	for a := range j.attempts {
+		if a.state == Exited && (whole || wrote(written, a.id.Task)) {
+			a.stored = true
 		}
 	}
 	for chunk, set := range written {
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -126,8 +126,8 @@
 // services that wait for it.
 const urgentBoot = 15 * micros.Second
 
-// perOffer is how many machines of one offer are rented in one round.
-const perOffer = 40
+// offerPart is the part of a round that one offer may take at most.
+const offerPart = 5
 
 // Choose rents for the needs, in their order, what costs least a task over boot
 // and use, at most limit machines in all. Room left on a machine chosen for one
@@ -139,6 +139,7 @@
 	}
 	slices.SortFunc(types, func(a, b *bookkeeping.MachineType) int { return cmp.Compare(a.Name, b.Name) })
 	var rooms []*room
+	perOffer := max(1, limit/offerPart)
 	for i := range needs {
 		n := &needs[i]
 		left := int64(n.Count)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"pipitlatch/internal/bookkeeping"
@@ -32,8 +33,10 @@
 	replicas  int                // service tasks, running or not, as of planAt
 	noRoom    map[roomShape]bool // of this plan
 	needs     []fleet.Need
-	lastTick  micros.Time
-	calmAt    micros.Time // silence is judged from then on
+	// unknownUse is what machines whose tasks are not known may be running, in this plan.
+	unknownUse bookkeeping.Resources
+	lastTick   micros.Time
+	calmAt     micros.Time // silence is judged from then on
 	// Until then, silence is put down to the network near this controller.
 	doubtUntil       micros.Time
 	zones            map[string]*zoneView // of machines in use
@@ -46,6 +49,7 @@
 	movedAt          micros.Time            // last move of a replica
 	load             int64                  // CPU that arrays used of late
 	toProbe          []*machine             // of this tick
+	counted          *census                // of this tick
 	turn             int                    // counts rounds of sending
 	marking          map[string]micros.Time // blocks whose record of use is being written, or was: not again before
 	kills            []*attempt             // of cancelled jobs, not shown gone
@@ -65,7 +69,8 @@
 	waiting         *bookkeeping.TaskSet
 	pending         *bookkeeping.TaskSet // finished, not known to be stored
 	live            map[int]*attempt
-	chunks          map[int]bool // with pending tasks
+	attempts        map[*attempt]struct{} // all that machines may still show, ended ones included
+	chunks          map[int]bool          // with pending tasks
 	storing         bool
 	storeAt         micros.Time
 	pause           micros.Time // no starts before
@@ -212,7 +217,7 @@
 		a := m.attempts[id]
 		h.leave(a)
 		h.requeue(a)
-		delete(m.attempts, id)
+		a.forget()
 	}
 	m.outbox = nil
 	m.known = true
@@ -232,6 +237,32 @@
 	return out
 }
 
+// sortedAttempts are the job's attempts by machine, so that a run can be repeated.
+func (j *job) sortedAttempts() []*attempt {
+	out := slices.Collect(maps.Keys(j.attempts))
+	slices.SortFunc(out, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.m.id, b.m.id), a.id.compare(b.id))
+	})
+	return out
+}
+
+// remember notes an attempt under its machine and its job: what concerns a job must not
+// look at every machine of the fleet.
+func (a *attempt) remember() {
+	a.m.attempts[a.id] = a
+	if a.j != nil {
+		a.j.attempts[a] = struct{}{}
+	}
+}
+
+// forget is the opposite of remember.
+func (a *attempt) forget() {
+	delete(a.m.attempts, a.id)
+	if a.j != nil {
+		delete(a.j.attempts, a)
+	}
+}
+
 func (id AttemptID) compare(o AttemptID) int {
 	return cmp.Or(cmp.Compare(id.Job, o.Job), cmp.Compare(id.Task, o.Task), cmp.Compare(id.Number, o.Number))
 }
@@ -254,7 +285,7 @@
 		return
 	}
 	j = &job{Job: e.Job, version: e.Version, entry: e, waiting: bookkeeping.NewTaskSet(e.Job.Tasks),
-		pending: bookkeeping.NewTaskSet(e.Job.Tasks), live: map[int]*attempt{}, chunks: map[int]bool{},
+		pending: bookkeeping.NewTaskSet(e.Job.Tasks), live: map[int]*attempt{}, attempts: map[*attempt]struct{}{}, chunks: map[int]bool{},
 		spared: bookkeeping.NewTaskSet(e.Job.Tasks)}
 	for t := range e.Job.Tasks {
 		if !j.finished(t) {
@@ -279,20 +310,14 @@
 	cancelled := h.c.isCancelled(j.ID)
 	delete(h.jobs, j.ID)
 	h.order = slices.DeleteFunc(h.order, func(o *job) bool { return o == j })
-	for _, m := range h.machines {
-		for _, id := range sortedAttempts(m) {
-			a := m.attempts[id]
-			if a.j != j {
-				continue
-			}
-			a.j, a.stored = nil, true
-			switch {
-			case a.state == Exited:
-			case cancelled:
-				h.kill(a)
-			default:
-				h.stop(a, 0)
-			}
+	for _, a := range j.sortedAttempts() {
+		a.j, a.stored = nil, true
+		switch {
+		case a.state == Exited:
+		case cancelled:
+			h.kill(a)
+		default:
+			h.stop(a, 0)
 		}
 	}
 	h.c.faults.ForgetJob(j.ID)
@@ -358,7 +383,7 @@
 func (h *holder) withdraw(a *attempt) {
 	h.leave(a)
 	h.requeue(a)
-	delete(a.m.attempts, a.id)
+	a.forget()
 	a.m.outbox = slices.DeleteFunc(a.m.outbox, func(c Command) bool { return c.AttemptID == a.id })
 }
 
@@ -368,19 +393,32 @@
 	if !h.c.term.Valid(h.c.now) {
 		return s
 	}
+	several := h.c.queues() > 1
+	idle := map[bool]int{} // of spot machines, and of the others
 	for _, m := range h.machines {
 		if m.draining == "silent" && (h.c.now < h.doubtUntil || h.zoneInDoubt(m.block.Zone)) && !m.expired {
 			continue
 		}
 		if m.draining != "" && (m.draining == "silent" || m.draining == "never came up" || m.draining == "unresolved" || m.lost() || h.vacant(m)) {
-			s.Release = append(s.Release, m.id)
-		} else if h.usable(m) && h.empty(m) {
+			if len(s.Release) < maxReleaseTold {
+				s.Release = append(s.Release, m.id)
+			}
+		} else if several && idle[m.block.Spot] < maxIdleTold && h.usable(m) && h.empty(m) {
+			idle[m.block.Spot]++
 			s.Idle = append(s.Idle, m.id)
 		}
 	}
 	return s
 }
 
+// What one message to the siblings has room for, with the longest names, whatever the size
+// of the fleet. The next message tells of what is left then: the leader deletes a hundred
+// machines at a time, and moves one idle machine at a time.
+const (
+	maxReleaseTold = 1000
+	maxIdleTold    = 100 // of each kind
+)
+
 // maxProgress bounds the jobs in one message to the siblings.
 const maxProgress = 500
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"slices"
 
 	"pipitlatch/internal/coordination/fleet"
@@ -58,17 +59,26 @@
 	c.log(levelInfo, "leading", "token", l.version)
 }
 
-// recentlyGone are machines that are surely gone, told for a while.
+// recentlyGone are machines that are surely gone, told for a while, the latest first where
+// one message has no room for all.
 func (l *leaderState) recentlyGone(now micros.Time) []string {
 	var out []string
-	for _, m := range sortedKeys(l.gone) {
-		if now-l.gone[m] < 10*micros.Second {
+	for m, at := range l.gone {
+		if now-at < tellGoneFor {
 			out = append(out, m)
 		}
 	}
-	return out
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(l.gone[b], l.gone[a]), cmp.Compare(a, b)) })
+	return out[:min(len(out), maxGoneTold)]
 }
 
+const (
+	// tellGoneFor is how long siblings are told that a machine is gone.
+	tellGoneFor = 10 * micros.Second
+	// maxGoneTold bounds the machines in one message. The records tell as well.
+	maxGoneTold = 1000
+)
+
 func (c *Core) tickLeader() {
 	if !c.leading() {
 		return
@@ -257,14 +267,15 @@
 func (c *Core) removeBlocks() {
 	l := &c.leader
 	gone := map[string][]string{} // by block
-	for _, m := range sortedKeys(l.gone) {
+	for m, at := range l.gone {
 		if b, ok := c.replica.Machines[m]; ok {
 			gone[b.Value.Block] = append(gone[b.Value.Block], m)
-		} else if c.now-l.gone[m] > goneFor {
+		} else if c.now-at > goneFor {
 			delete(l.gone, m)
 		}
 	}
 	for _, name := range sortedKeys(gone) {
+		slices.Sort(gone[name])
 		if c.now < l.removing[name] {
 			continue
 		}
@@ -298,14 +309,30 @@
 	c.listMachinesPage("", map[string]bool{})
 }
 
+const (
+	// listPage is how many machines one page of the cloud's list has.
+	listPage = 500
+	// listPace is how often the list is read where it has few pages.
+	listPace = 2 * micros.Second
+	// listShare is the part of the cloud's limit that lists may take: those of a large
+	// fleet have many pages, and rentals and deletions need the rest.
+	listShare = 0.25
+)
+
+// listPause is how long the next reading of the cloud's list waits.
+func (c *Core) listPause() micros.Time {
+	pages := 1 + len(c.replica.Machines)/listPage
+	return max(listPace, micros.FromSeconds(float64(pages)/(c.cfg.Settings.Cloud.RPS*listShare)))
+}
+
 func (c *Core) listMachinesPage(after string, seen map[string]bool) {
 	l := &c.leader
 	version := l.version
-	c.callCloud(CloudCall{Kind: CloudList, After: after, Limit: 500, Timeout: 3 * micros.Second}, func(r *CloudReply) {
+	c.callCloud(CloudCall{Kind: CloudList, After: after, Limit: listPage, Timeout: 3 * micros.Second}, func(r *CloudReply) {
 		if version != l.version {
 			return
 		}
-		l.listAt = c.now + 2*micros.Second
+		l.listAt = c.now + c.listPause()
 		if r.Outcome != CloudOK {
 			l.listing = false
 			return
--- a/internal/coordination/rentals.go
+++ b/internal/coordination/rentals.go
@@ -17,8 +17,16 @@
 // something.
 const rentPace = 700 * micros.Millisecond
 
-// maxRound bounds the machines rented for one look at the needs.
-const maxRound = 200
+// minRound and roundPart bound the machines rented for one look at the needs: a part of
+// those there are, so that a large fleet grows as quickly as a small one, and the needs
+// are looked at again before it doubles.
+const (
+	minRound  = 200
+	roundPart = 10
+)
+
+// maxRound is how many machines are rented for one look at the needs.
+func (c *Core) maxRound() int { return max(minRound, len(c.replica.Machines)/roundPart) }
 
 // rentMachines rents for the queues' needs, one round at a time: the next round
 // looks at what the last one brought.
@@ -63,7 +71,7 @@
 			}
 			return l.exhausted.Limit(o, c.now)
 		}
-		for _, r := range fleet.Choose(needs, c.catalog, most, maxRound/max(1, len(statuses))) {
+		for _, r := range fleet.Choose(needs, c.catalog, most, c.maxRound()/max(1, len(statuses))) {
 			for r.Count > 0 && c.takeCloud() {
 				part := r
 				part.Count = min(r.Count, c.maxBlock())
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -268,7 +268,6 @@
 // adopt takes an attempt that this holder did not start.
 func (h *holder) adopt(m *machine, t *TaskReport) *attempt {
 	a := &attempt{id: t.AttemptID, m: m, state: t.State, made: h.c.now, sent: true}
-	m.attempts[a.id] = a
 	a.j = h.jobs[t.Job]
 	if e := h.c.replica.Jobs[t.Job]; e != nil {
 		a.team, a.need = e.Job.Team, e.Job.Need
@@ -276,6 +275,7 @@
 	if a.j != nil && (t.Task < 0 || t.Task >= a.j.Tasks) {
 		a.j = nil
 	}
+	a.remember()
 	if t.State == Exited {
 		a.state = Fetching // so that update sees it exit
 	}
--- a/internal/coordination/room.go
+++ b/internal/coordination/room.go
@@ -125,7 +125,8 @@
 // them, and some growth, at once: free room, or room that arrays can be stopped
 // for. Exception to the design, which plans for tasks that are there.
 func (h *holder) spare() []fleet.Need {
-	kind, missing := h.spareMissing(nil, true)
+	survey := h.surveySpare(true)
+	kind, missing := survey.kind, survey.missing(nil)
 	if missing > 0 {
 		return []fleet.Need{h.need(kind, missing)}
 	}
@@ -135,7 +136,7 @@
 	}
 	// Room on smaller machines for what keeps a dear one busy: once it is there,
 	// consolidate gives the dear one up.
-	if _, missing = h.spareMissing(m, true); missing <= 0 {
+	if missing = survey.missing(m); missing <= 0 {
 		return nil
 	}
 	n := h.need(kind, missing)
@@ -217,54 +218,114 @@
 	return arrays, services, capacity
 }
 
-// spareMissing is how much room for replicas, like those of the returned job, is
-// missing: if without is given, after its replicas have moved elsewhere. Machines
-// that still boot count if booting is set.
-func (h *holder) spareMissing(without *machine, booting bool) (*job, int) {
+// spareSurvey is what the spare room for services depends on, counted once: what would be
+// missing without one machine or another then follows without another look at the fleet.
+type spareSurvey struct {
+	kind     *job             // the largest service; nil: there is none
+	growth   int              // replicas that there has to be room for besides
+	replicas map[*machine]int // by machine
+	roomOn   map[*machine]int // further replicas that fit there
+	room     int              // all of it
+	// The machines whose loss takes most room: the replicas there and the room left.
+	worst, second *machine
+}
+
+// surveySpare counts the spare room; machines that still boot count if booting is set.
+func (h *holder) surveySpare(booting bool) *spareSurvey {
+	s := &spareSurvey{replicas: map[*machine]int{}, roomOn: map[*machine]int{}}
 	replicas := 0
-	var kind *job
-	perMachine := map[*machine]int{}
 	for _, j := range h.order {
 		if j.Kind != bookkeeping.Service {
 			continue
 		}
 		for _, a := range j.live {
 			replicas++
-			perMachine[a.m]++
+			s.replicas[a.m]++
 		}
-		if kind == nil || j.Need.CPU > kind.Need.CPU {
-			kind = j
+		if s.kind == nil || j.Need.CPU > s.kind.Need.CPU {
+			s.kind = j
 		}
 	}
-	if kind == nil {
-		return nil, 0
+	if s.kind == nil {
+		return s
 	}
-	growth := (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100 + 1
-	moving := perMachine[without] // 0 if without is nil
-	room := 0
-	roomOn := map[*machine]int{}
+	s.growth = (replicas*int(h.c.cfg.Operator.SparePercent)+99)/100 + 1
 	for _, m := range h.machines {
-		if m == without || m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) ||
-			(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (!booting || !h.expected(m) && !h.justBooted(m))) {
-			continue
+		if n := h.spareRoomOn(m, s.kind, booting); n > 0 {
+			s.roomOn[m] = n
+			s.room += n
 		}
-		free := m.kind.Capacity
-		for _, a := range m.attempts {
-			if a.state != Exited && (a.j == nil || a.j.Priority >= kind.Priority) {
-				free = free.Sub(a.need)
-			}
-		}
-		roomOn[m] = int(kind.Need.Count(free))
-		room += roomOn[m]
-	}
-	missing := growth + moving - room
-	for m, n := range perMachine {
-		if m != without {
-			// What this machine has must fit on the others.
-			missing = max(missing, n+moving-(room-roomOn[m]))
+	}
+	for m := range s.replicas {
+		s.rank(m)
+	}
+	return s
+}
+
+// spareRoomOn is how many replicas of a kind fit on a machine, where arrays give way.
+func (h *holder) spareRoomOn(m *machine, kind *job, booting bool) int {
+	if m.kind == nil || m.block.Spot && !kind.Spot || !kind.AllowsType(m.block.Type) ||
+		(kind.Zone != "" && kind.Zone != m.block.Zone) || (!h.usable(m) && (!booting || !h.expected(m) && !h.justBooted(m))) {
+		return 0
+	}
+	free := m.kind.Capacity
+	for _, a := range m.attempts {
+		if a.state != Exited && (a.j == nil || a.j.Priority >= kind.Priority) {
+			free = free.Sub(a.need)
 		}
 	}
-	return kind, missing
+	return int(kind.Need.Count(free))
+}
+
+// weight is the room that the loss of a machine takes: its replicas, and what is free there.
+func (s *spareSurvey) weight(m *machine) int { return s.replicas[m] + s.roomOn[m] }
+
+// rank keeps the two machines with replicas whose loss takes most room.
+func (s *spareSurvey) rank(m *machine) {
+	switch {
+	case s.worst == nil || s.weight(m) > s.weight(s.worst):
+		s.worst, s.second = m, s.worst
+	case s.second == nil || s.weight(m) > s.weight(s.second):
+		s.second = m
+	}
+}
+
+// missing is how much room is missing: if without is given, after its replicas have moved
+// elsewhere. What any one machine has must fit on the others.
+func (s *spareSurvey) missing(without *machine) int {
+	if s.kind == nil {
+		return 0
+	}
+	moving, room := s.replicas[without], s.room-s.roomOn[without] // 0 if without is nil
+	worst := s.worst
+	if worst == without {
+		worst = s.second
+	}
+	missing := s.growth + moving - room
+	if worst != nil {
+		missing = max(missing, s.weight(worst)+moving-room)
+	}
+	return missing
+}
+
+// missingWithout is missing(large) once an empty machine was given back as well.
+func (s *spareSurvey) missingWithout(large, empty *machine) int {
+	rest := *s
+	rest.room -= s.roomOn[empty]
+	return rest.missing(large)
+}
+
+// remove takes a machine out of the room that counts: it takes no more tasks.
+func (s *spareSurvey) remove(m *machine) {
+	s.room -= s.roomOn[m]
+	delete(s.roomOn, m)
+	if s.replicas[m] == 0 {
+		return
+	}
+	s.worst, s.second = nil, nil
+	for o := range s.replicas {
+		s.rank(o)
+	}
 }
 
 // free is the room a machine has now.
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -49,6 +49,12 @@
 		}
 	}
 	silent := slices.ContainsFunc(h.machines, func(m *machine) bool { return !m.known })
+	h.unknownUse = bookkeeping.Resources{}
+	for _, m := range h.machines {
+		if !m.known && m.kind != nil {
+			h.unknownUse = h.unknownUse.Add(m.kind.Capacity)
+		}
+	}
 	if !silent && !h.allKnown {
 		h.allKnown = true
 		h.c.log(levelInfo, "all machines known", "queue", h.queue, "after_ms", (now-h.taken)/micros.Millisecond)
@@ -364,11 +370,7 @@
 	}
 	use := h.usage[j.Team]
 	if t.LimitCPU >= 0 || t.LimitGPU >= 0 {
-		for _, m := range h.machines {
-			if !m.known && m.kind != nil {
-				use = use.Add(m.kind.Capacity)
-			}
-		}
+		use = use.Add(h.unknownUse)
 	}
 	free := bookkeeping.Resources{CPU: 1 << 50, GPU: 1 << 50, Mem: 1 << 50}
 	if t.LimitCPU >= 0 {
@@ -389,7 +391,7 @@
 	h.counter++
 	a := &attempt{id: AttemptID{j.ID, t, h.token<<20 + h.counter}, m: m, j: j, team: j.Team, need: j.Need,
 		made: h.c.now, length: length, own: true}
-	m.attempts[a.id] = a
+	a.remember()
 	j.live[t] = a
 	j.waiting.Remove(t)
 	h.enter(a)
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -1,6 +1,9 @@
 package coordination
 
 import (
+	"slices"
+	"sort"
+
 	"pipitlatch/internal/micros"
 )
 
@@ -32,8 +35,8 @@
 	if m.session == 0 || h.unanswered(m) <= h.c.cfg.LeaseRunOut() {
 		return false
 	}
-	heard, up := h.countUp(func(o *machine) bool { return h.unanswered(o) < h.c.cfg.Lease()/2 })
-	return heard*2 > up
+	census := h.census()
+	return census.answered*2 > census.up
 }
 
 // lastAnswer is when a worker of this machine can last have had an answer that
@@ -56,16 +59,8 @@
 // mostKnown tells whether most of the machines in use are known. A third of them may
 // have been lost with the last holder, and all older jobs wait for these.
 func (h *holder) mostKnown() bool {
-	known, used := 0, 0
-	for _, m := range h.machines {
-		if m.block.Used {
-			used++
-			if m.known {
-				known++
-			}
-		}
-	}
-	return known*2 >= used
+	census := h.census()
+	return census.known*2 >= census.used
 }
 
 // manySilent tells whether so many machines are silent, or overdue, at once that
@@ -112,20 +107,46 @@
 // this controller that nobody hears. A fault near here shows at once, long before
 // many machines are overdue. Three machines are too few to tell.
 func (h *holder) othersHeard(m *machine) bool {
-	heard, up := h.countUp(func(o *machine) bool { return o.seen > m.vainAt })
-	return heard*4 > up || up <= 3
+	census := h.census()
+	heard := len(census.seen) - sort.Search(len(census.seen), func(i int) bool { return census.seen[i] > m.vainAt })
+	return heard*4 > census.up || census.up <= 3
 }
 
-// countUp counts the machines in use, and those of them that are as asked for.
-func (h *holder) countUp(is func(*machine) bool) (found, up int) {
+// census is what judging one machine's silence needs of all the others. It is taken once
+// a tick: when a third of the fleet falls silent at once, every one of them is judged by
+// the rest, and counting anew for each would take the square of the fleet's size.
+type census struct {
+	at       micros.Time
+	up       int           // machines in use
+	answered int           // of these, had an answer within half a lease
+	used     int           // machines that may have tasks, by their records
+	known    int           // of these, their tasks are known
+	seen     []micros.Time // when those in use were last seen, in order
+}
+
+// census returns the census of this tick.
+func (h *holder) census() *census {
+	if h.counted != nil && h.counted.at == h.c.now {
+		return h.counted
+	}
+	n := &census{at: h.c.now}
 	for _, m := range h.machines {
+		if m.block.Used {
+			n.used++
+			if m.known {
+				n.known++
+			}
+		}
 		if m.session == 0 && !m.block.Used {
 			continue
 		}
-		up++
-		if is(m) {
-			found++
+		n.up++
+		n.seen = append(n.seen, m.seen)
+		if h.unanswered(m) < h.c.cfg.Lease()/2 {
+			n.answered++
 		}
 	}
-	return found, up
+	slices.Sort(n.seen)
+	h.counted = n
+	return n
 }
--- a/internal/coordination/surplus.go
+++ b/internal/coordination/surplus.go
@@ -15,8 +15,12 @@
 	settled = 60 * micros.Second
 	// movePace bounds how often a replica is moved: each is away for a moment.
 	movePace = 3 * micros.Second
-	// maxLeaving is how many machines are given up at a time.
-	maxLeaving = 3
+	// maxLeaving is how many machines are given up at a time, or a part of a large fleet.
+	maxLeaving     = 3
+	maxLeavingPart = 8
+	// leavePerPass is how many are given up in one pass, which come movePace apart: a
+	// pass must not hold everything else up, however large the fleet.
+	leavePerPass = 64
 	// imagePatience is how long a move off a dear machine waits for a machine that
 	// has the image.
 	imagePatience = 15 * micros.Second
@@ -30,15 +34,16 @@
 func (h *holder) consolidate() {
 	now := h.c.now
 	leaving := 0
+	nowhere := map[string]bool{} // services whose replicas no machine takes now
 	for _, m := range h.machines {
 		if m.draining == "surplus" {
-			h.moveOff(m)
+			h.moveOff(m, nowhere)
 			if replicasOn(m) > 0 {
 				leaving++ // one that waits for its arrays to end holds up no others
 			}
 		}
 	}
-	most := max(maxLeaving, len(h.machines)/8)
+	most := max(maxLeaving, len(h.machines)/maxLeavingPart)
 	if leaving >= most || now-h.mergedAt < movePace || now-h.taken < 10*micros.Second || h.c.term.Age(now) >= staleAfter {
 		return
 	}
@@ -59,6 +64,8 @@
 		list = append(list, surplus{m, m.kind.Price / float64(max(1, replicasOn(m)))})
 	}
 	slices.SortStableFunc(list, func(a, b surplus) int { return cmp.Compare(b.cost, a.cost) })
+	survey := h.surveySpare(false)
+	most = min(most, leaving+leavePerPass)
 	for _, s := range list {
 		m := s.m
 		if leaving >= most {
@@ -70,10 +77,11 @@
 			}) {
 			continue
 		}
-		if _, missing := h.spareMissing(m, false); missing > 0 {
+		if survey.missing(m) > 0 {
 			continue
 		}
 		h.drain(m, "surplus")
+		survey.remove(m)
 		capacity -= m.kind.Capacity.CPU
 		leaving++
 	}
@@ -90,8 +98,9 @@
 	return n
 }
 
-// moveOff moves the next replica off a machine, to one that has its image.
-func (h *holder) moveOff(m *machine) {
+// moveOff moves the next replica off a machine, to one that has its image. What found no
+// place in this pass is not looked for again: the whole fleet was asked for it.
+func (h *holder) moveOff(m *machine, nowhere map[string]bool) {
 	pace := movePace / 2 / micros.Time(max(1, h.pack()))
 	if h.c.now-h.movedAt < pace || m.ack != h.token {
 		return
@@ -101,7 +110,7 @@
 	bare := h.c.now-m.drainAt > imagePatience && m.kind.Price > 3*h.cheapest()
 	for _, id := range sortedAttempts(m) {
 		a := m.attempts[id]
-		if a.state != Running || a.stop || a.j == nil || a.j.Kind != bookkeeping.Service {
+		if a.state != Running || a.stop || a.j == nil || a.j.Kind != bookkeeping.Service || (nowhere[a.j.ID] && !bare) {
 			continue
 		}
 		for _, o := range h.machines {
@@ -113,6 +122,7 @@
 			h.stop(a, a.j.SaveTime)
 			return
 		}
+		nowhere[a.j.ID] = true
 	}
 }
 
@@ -140,8 +150,8 @@
 		}
 		return
 	}
-	kind, _ := h.spareMissing(nil, true)
-	large := h.oversized(kind)
+	survey := h.surveySpare(true)
+	large := h.oversized(survey.kind)
 	for _, m := range h.machines {
 		if m.draining == "idle" && h.c.now-m.drainAt > returnPatience {
 			// The cloud does not take them back now: what is drained serves nobody.
@@ -180,12 +190,10 @@
 			}) {
 			continue
 		}
-		m.draining = "idle"
-		if len(h.spare()) > 0 {
-			m.draining = ""
+		if survey.missing(m) > 0 || (large != nil && large != m && survey.missingWithout(large, m) > 0) {
 			continue
 		}
-		m.draining = ""
+		survey.remove(m)
 		h.drain(m, "idle")
 	}
 }
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -25,6 +24,7 @@
 	w         *World
 	types     []*machineType
 	machines  map[string]*machine
+	created   []*machine // the same, in order
 	byAddress map[string]*machine
 	charters  map[string][]string
 	next      int
@@ -49,14 +49,8 @@
 	return c
 }
 
-func (c *cloud) sorted() []*machine {
-	out := make([]*machine, 0, len(c.machines))
-	for _, m := range c.machines {
-		out = append(out, m)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
-	return out
-}
+// sorted are all machines ever rented, by name, which is the order of their creation.
+func (c *cloud) sorted() []*machine { return c.created }
 
 // snap keeps what later lists, which lag, will show.
 func (c *cloud) snap() {
@@ -201,6 +195,7 @@
 		m.address = c.w.listen(m)
 	}
 	c.machines[m.name] = m
+	c.created = append(c.created, m)
 	c.byAddress[m.address] = m
 	boot := micros.Time(float64(t.boot) * (0.6 + 0.9*c.w.rng.Float64()) * c.slowBoot)
 	if up {
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -348,8 +348,7 @@
 		if o.gone {
 			continue
 		}
-		for _, id := range o.ids() {
-			x := o.tasks[id]
+		for _, x := range o.tasks {
 			if x == t || x.job != j || !x.on() {
 				continue
 			}
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -158,7 +158,9 @@
 	for id := range m.tasks {
 		out = append(out, id)
 	}
-	sort.Strings(out)
+	if len(out) > 1 {
+		sort.Strings(out)
+	}
 	return out
 }
 
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -25,6 +25,9 @@
 	maxWorkerAnswer = 256 << 10
 )
 
+// errTooLarge: the answer is larger than its bound.
+var errTooLarge = errors.New("answer too large")
+
 // clients calls the outside services.
 type clients struct {
 	cfg     *config.Config
@@ -85,7 +88,7 @@
 		return 0, nil, err
 	}
 	if int64(len(b)) > most {
-		return 0, nil, errors.New("answer too large")
+		return 0, nil, errTooLarge
 	}
 	return resp.StatusCode, b, nil
 }
@@ -100,6 +103,12 @@
 		c.log.Warn("state service", "err", err)
 		return r
 	}
+	if errors.Is(err, errTooLarge) && call.Request.Kind == storage.Watch {
+		// A watch brings all changes since the last, however many: after a standstill
+		// they may be more than is ever read, and asking again would bring even more.
+		c.log.Warn("state service: too many changes to follow, the state is read anew")
+		return &storage.Reply{Outcome: storage.Compacted}
+	}
 	c.log.Debug("state service", "err", err)
 	return &storage.Reply{Outcome: storage.Lost}
 }
--- a/internal/transport/driver.go
+++ b/internal/transport/driver.go
@@ -21,8 +21,14 @@
 	"pipitlatch/internal/micros"
 )
 
-// inputQueue bounds the inputs waiting for the loop.
-const inputQueue = 2048
+// minInputQueue bounds the inputs waiting for the loop where there are few sockets.
+const minInputQueue = 2048
+
+// inputQueue bounds the inputs waiting for the loop: every connection has one request in
+// progress at most, so that a whole fleet that reports in the same instant finds room.
+func inputQueue(cfg *config.Config) int {
+	return max(minInputQueue, cfg.Settings.MachineLimits.MaxConnections)
+}
 
 // Driver runs one controller.
 type Driver struct {
@@ -46,7 +52,7 @@
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
-	d := &Driver{cfg: cfg, log: log, start: time.Now(), inputs: make(chan coordination.Input, inputQueue),
+	d := &Driver{cfg: cfg, log: log, start: time.Now(), inputs: make(chan coordination.Input, inputQueue(cfg)),
 		waiting:    map[coordination.RequestID]chan coordination.Answer{},
 		badReports: rate.Sometimes{First: 3, Interval: 5 * time.Second}}
 	incarnation := rand.Text()
@@ -69,7 +75,8 @@
 	d.siblings = newSiblings(cfg, log, d.inputs)
 	d.siblings.run(ctx, internal)
 
-	listener := &boundedListener{Listener: users, most: int64(cfg.Sockets().Serve)}
+	listener := &boundedListener{Listener: users, most: int64(cfg.Sockets().Serve), log: log,
+		refusals: rate.Sometimes{First: 1, Interval: refusalsLogged}}
 	server := &http.Server{
 		Handler:           d.routes(listener),
 		ReadHeaderTimeout: 5 * time.Second,
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -1,12 +1,15 @@
 package transport
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"pipitlatch/internal/config"
 	"pipitlatch/internal/micros"
 )
@@ -17,8 +20,14 @@
 	net.Listener
 	most int64
 	open atomic.Int64
+
+	log      *slog.Logger
+	refusals rate.Sometimes // bounds what refused connections make us log
 }
 
+// refusalsLogged is how often refused connections are logged.
+const refusalsLogged = 10 * time.Second
+
 type boundedConn struct {
 	net.Conn
 	once  sync.Once
@@ -35,6 +44,9 @@
 		if l.open.Add(1) > l.most {
 			l.open.Add(-1)
 			c.Close()
+			l.refusals.Do(func() {
+				l.log.Warn("connection refused: max_connections is too small for the fleet and its users", "serving", l.most)
+			})
 			continue
 		}
 		return &boundedConn{Conn: c, owner: l}, nil
