Fair admission: epochs under overload, a flow that falls behind its share goes first

Need: the same burst was judged differently at each controller, and a busy class crowded out a quiet one. Change: internal/admission; under an overload the leader writes an epoch, by which every controller gives one verdict on a reference, with its turn as Retry-After; a holder follows each flow's lag (start-time fair queueing, teams first, then classes). Off by default.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -195,6 +195,12 @@
 	orDefault(&o.MaxInProgress, uint32(max(8, c.Settings.MachineLimits.MaxConnections/4)))
 	orDefault(&o.MemoryPercent, 70)
 	orDefault(&o.SparePercent, 15)
+	if o.FairAdmission == nil {
+		o.FairAdmission = &FairAdmission{}
+	}
+	orDefault(&o.FairAdmission.EpochMs, 4000)
+	orDefault(&o.FairAdmission.FloorPercent, 25)
+	orDefault(&o.FairAdmission.LagS, 60)
 }
 
 // checker collects what is wrong with settings, by field.
@@ -241,6 +247,7 @@
 		k.bad("settings.workers.cancel_s", "leaves no term beyond lease_s: %v", s.Workers.CancelS)
 	}
 	c.checkOperator(k)
+	c.checkFairAdmission(k)
 	return k.errs
 }
 
@@ -314,6 +321,47 @@
 	}
 }
 
+// Bounds of the settings of fair admission.
+const (
+	minEpochMs, maxEpochMs = 1000, 30_000
+	maxLagS                = 3600
+	maxWeight              = 1000
+)
+
+// checkFairAdmission names every setting that is out of its bounds: a share that is not
+// what the operator meant shows only under overload.
+func (c *Config) checkFairAdmission(k *checker) {
+	f := c.Operator.FairAdmission
+	if f.EpochMs < minEpochMs || f.EpochMs > maxEpochMs {
+		k.bad("operator.fair_admission.epoch_ms", "must be %d to %d, is %d", minEpochMs, maxEpochMs, f.EpochMs)
+	}
+	if f.FloorPercent > 100 {
+		k.bad("operator.fair_admission.floor_percent", "must be at most 100, is %d", f.FloorPercent)
+	}
+	if f.LagS > maxLagS {
+		k.bad("operator.fair_admission.lag_s", "must be at most %d, is %d", maxLagS, f.LagS)
+	}
+	teams := map[string]bool{}
+	for _, t := range c.Settings.Teams {
+		teams[t.Name] = true
+	}
+	type name struct{ team, class string }
+	seen := map[name]bool{}
+	for i, w := range f.Weights {
+		field := fmt.Sprintf("operator.fair_admission.weights[%d]", i)
+		if !teams[w.Team] {
+			k.bad(field+".team", "no such team: %q", w.Team)
+		}
+		if seen[name{w.Team, w.Class}] {
+			k.bad(field, "given twice: team %q, class %q", w.Team, w.Class)
+		}
+		seen[name{w.Team, w.Class}] = true
+		if w.Weight < 1 || w.Weight > maxWeight {
+			k.bad(field+".weight", "must be 1 to %d, is %d", maxWeight, w.Weight)
+		}
+	}
+}
+
 // minValue is the least that a value must be able to hold: a job with every field but its
 // lists, a part of the finished ranges of a job.
 const minValue = 900
--- /dev/null
+++ b/internal/coordination/admission.go
@@ -0,0 +1,209 @@
+package coordination
+
+import (
+	"errors"
+
+	"pipitlatch/internal/admission"
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// fairAdmission is this controller's part in admission epochs: what it was asked for, the
+// epoch it knows, what siblings were asked for and, while it leads, the next epoch. Off,
+// it is nil, and nothing here is called.
+type fairAdmission struct {
+	settings admission.Settings
+	tracker  *admission.Tracker
+	view     admission.View
+	planner  *admission.Planner
+	heard    map[string]heardDemand // by member
+	toldAt   micros.Time
+	writing  bool
+	leader   uint64      // fencing token under which the planner plans
+	oddAt    micros.Time // last record told as ignored
+}
+
+// heardDemand is what a sibling last said that it was asked for.
+type heardDemand struct {
+	at     micros.Time
+	demand *admission.Demand
+}
+
+const (
+	// demandEvery is how often siblings are told what this controller was asked for.
+	demandEvery = micros.Second
+	// demandLifetime is how long what a sibling said counts.
+	demandLifetime = 5 * micros.Second
+	// windowBytes is about what a flow's window takes in an epoch's record.
+	windowBytes = 56
+	// epochBytes is what the record has besides.
+	epochBytes = 240
+	// minCapacityPart is the part of the state service's changes that new jobs get at
+	// least, whatever was used for other things of late.
+	minCapacityPart = 4
+)
+
+// admissionSettings are the operators' settings as the package wants them.
+func admissionSettings(cfg *config.Config) admission.Settings {
+	f := cfg.Operator.FairAdmission
+	s := admission.Settings{Length: micros.Time(f.EpochMs) * micros.Millisecond, FloorPercent: int64(f.FloorPercent),
+		Teams: map[string]int64{}, Classes: map[admission.Flow]int64{},
+		MaxWindows: max(1, min(admission.MaxFlows, (cfg.Settings.MaxValue()-epochBytes)/windowBytes))}
+	for _, w := range f.Weights {
+		if w.Class == "" {
+			s.Teams[w.Team] = int64(w.Weight)
+		} else {
+			s.Classes[admission.Flow{Team: w.Team, Class: w.Class}] = int64(w.Weight)
+		}
+	}
+	return s
+}
+
+func newFairAdmission(cfg *config.Config) *fairAdmission {
+	if !cfg.Operator.FairAdmission.Enabled {
+		return nil
+	}
+	s := admissionSettings(cfg)
+	return &fairAdmission{settings: s, tracker: admission.NewTracker(len(cfg.Settings.Teams)), planner: admission.NewPlanner(s),
+		heard: map[string]heardDemand{}}
+}
+
+// flowOf is the flow of a job.
+func flowOf(j *bookkeeping.Job) admission.Flow { return admission.Flow{Team: j.Team, Class: j.Class} }
+
+// admit asks for the verdict on a job that is not known here, and goes on with take unless it
+// is refused. A known job is answered as known, first of all: one that another controller
+// just took, or that was moved away long ago, is looked up before it is refused. Without an
+// epoch in force nothing is refused here: what can't be stored is refused where it is.
+func (c *Core) admit(req RequestID, job *bookkeeping.Job, take func()) {
+	f := c.fair
+	if f == nil {
+		take()
+		return
+	}
+	flow := flowOf(job)
+	f.tracker.Asked(c.now, flow, job.ID)
+	v := f.view.Verdict(c.now, flow, job.ID)
+	if v.Epoch != 0 {
+		c.log(levelDebug, "verdict", "job", job.ID, "epoch", v.Epoch, "leader", v.Leader, "admit", v.Admit, "turn_ms", v.Turn/micros.Millisecond)
+	}
+	if v.Epoch == 0 || v.Admit {
+		if v.Admit {
+			f.tracker.Admitted(c.now, flow)
+		}
+		take()
+		return
+	}
+	c.viewOr(req, job.ID, func() {
+		c.answer(Answer{Request: req, Kind: Overloaded, Text: "overload: it is not its turn yet", RetryAfter: v.Turn})
+	})
+}
+
+// accepted and shed count what became of a submission.
+func (c *Core) accepted(j *bookkeeping.Job) {
+	if c.fair != nil {
+		c.fair.tracker.Accepted(c.now, flowOf(j))
+	}
+}
+
+func (c *Core) shed() {
+	if c.fair != nil {
+		c.fair.tracker.Refused(c.now)
+	}
+}
+
+// admissionChanged takes the epoch's record as a request sent at a time read it.
+func (c *Core) admissionChanged(sent micros.Time) {
+	f := c.fair
+	stored := c.replica.Admission
+	if f == nil || stored.Version == 0 {
+		return
+	}
+	skew := micros.FromSeconds(c.cfg.Settings.SkewMS / 1000)
+	err := f.view.Observe(stored.Value, sent, c.now, c.wall, skew)
+	switch {
+	case err == nil:
+		if e := f.view.Current(c.now); e != nil {
+			c.log(levelDebug, "admission epoch", "epoch", e.Number, "leader", e.Leader, "flows", len(e.Windows))
+		}
+	case errors.Is(err, admission.ErrStale) || c.now-f.oddAt < oddEvery:
+	default:
+		f.oddAt = c.now
+		c.log(levelWarn, "admission epoch ignored", "version", stored.Version, "err", err)
+	}
+}
+
+// tickAdmission writes the next epoch, as the leader, while there is an overload.
+func (c *Core) tickAdmission() {
+	f := c.fair
+	l := &c.leader
+	if f == nil || f.writing {
+		return
+	}
+	if f.leader != l.version {
+		f.leader, f.planner = l.version, admission.NewPlanner(f.settings)
+	}
+	demand := c.demandOfAll()
+	e := f.planner.Next(&f.view, admission.Situation{Now: c.now, Wall: c.wall, Leader: l.version, Demand: demand, Capacity: c.admissionCapacity(demand)})
+	if e == nil {
+		return
+	}
+	f.writing = c.callState(&storage.Request{Kind: storage.Commit,
+		// Carried out late, or by a leader that was replaced, it has no effect.
+		Conditions: []storage.Condition{c.asLeader(), {Key: c.keys.Admission(), Version: c.replica.Admission.Version}},
+		Puts:       []storage.Put{{Key: c.keys.Admission(), Value: storage.Encode(e)}},
+	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
+		f.writing = false
+		if r.Outcome == storage.OK {
+			c.log(levelInfo, "overload: admission epoch", "epoch", e.Number, "flows", len(e.Windows), "rest_ppm", int64(e.Rest.Width)*1_000_000/admission.Points,
+				"refused", demand.Refused, "admitted", demand.Admitted)
+		}
+	})
+	if f.writing {
+		f.planner.Written(c.now)
+	}
+}
+
+// demandOfAll adds up what all controllers were asked for of late.
+func (c *Core) demandOfAll() admission.Demand {
+	all := []admission.Demand{c.fair.tracker.Demand(c.now)}
+	for _, member := range sortedKeys(c.fair.heard) {
+		if d := c.fair.heard[member]; member != c.proc.Member && c.now-d.at < demandLifetime {
+			all = append(all, *d.demand)
+		}
+	}
+	return admission.Merge(all)
+}
+
+// admissionCapacity is how many jobs can be taken a second, in thousandths: the changes that
+// the state service takes, less what is used for everything but new jobs.
+func (c *Core) admissionCapacity(demand admission.Demand) int64 {
+	total := c.budget.WriteTotal()
+	used := c.budget.Recent().Writes
+	for member, p := range c.peers {
+		if member != c.proc.Member && c.now-p.at < 3*micros.Second {
+			used += p.status.Used.Writes
+		}
+	}
+	return max(total/minCapacityPart, total-max(0, used-demand.AcceptRate))
+}
+
+// demandToTell is what the siblings are told now; nil: nothing new.
+func (c *Core) demandToTell() *admission.Demand {
+	f := c.fair
+	if f == nil || c.now-f.toldAt < demandEvery {
+		return nil
+	}
+	f.toldAt = c.now
+	d := f.tracker.Demand(c.now)
+	return &d
+}
+
+// heardDemandOf takes what a sibling was asked for.
+func (c *Core) heardDemandOf(s *Status) {
+	if c.fair != nil && s.Demand != nil {
+		c.fair.heard[s.From.Member] = heardDemand{c.now, s.Demand}
+	}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -65,7 +65,8 @@
 	faults       *fleet.Faults
 	spot         spotLosses
 	reach        reach
-	planned      *holder // that planned in the last step
+	fair         *fairAdmission // nil: off
+	planned      *holder        // that planned in the last step
 	statusAt     micros.Time
 	statusSoon   bool        // send the status soon
 	okAt         micros.Time // when the state service last answered in time
@@ -98,7 +99,7 @@
 		budget:     storage.NewBudget(cfg.Settings.StateLimits().RPS, cfg.Settings.StateLimits().WriteRPS, cfg.Settings.Nodes),
 		holders:    map[int]*holder{}, ends: map[storage.Process]micros.Time{},
 		rejected: rejections{}, peers: map[string]*peerView{}, cancelled: newCancellations(), archive: map[string]*storage.JobEntry{}, progress: map[string]JobProgress{},
-		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(),
+		stats: bookkeeping.NewRunTimes(), faults: fleet.NewFaults(), fair: newFairAdmission(cfg),
 	}
 	c.session.replica = storage.NewReplica(keys)
 	c.session.term = lease.Term{Length: cfg.Term()}
@@ -144,6 +145,8 @@
 		c.lookup(in)
 	case *Cancel:
 		c.cancel(in)
+	case *Shed:
+		c.shed()
 	case *ReportIn:
 		c.report(in)
 	case *StateDone:
@@ -358,6 +361,7 @@
 	}
 	s.Gone = c.leader.recentlyGone(c.now)
 	s.CancelsHeard = c.cancelsHeard()
+	s.Demand = c.demandToTell()
 	for _, p := range c.cfg.Siblings {
 		mine := *s
 		mine.Shifts = c.leader.shifts[p.Member]
@@ -377,6 +381,7 @@
 func (c *Core) heard(s *Status) {
 	c.peers[s.From.Member] = &peerView{c.now, s}
 	c.takeNotices(s)
+	c.heardDemandOf(s)
 	for _, m := range s.Gone {
 		for _, h := range c.holders {
 			h.machineGone(m)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -59,6 +59,7 @@
 	writingCancelled bool
 	writeCancelledAt micros.Time
 	inherited        map[string]inheritance // of this plan
+	shares           *fairShares            // nil: off
 }
 
 // job is an active job of the queue.
@@ -138,6 +139,7 @@
 		h.jobChanged(id)
 	}
 	h.lostBefore()
+	h.shares = c.newFairShares(n)
 	return h
 }
 
@@ -393,6 +395,7 @@
 	if !h.c.term.Valid(h.c.now) {
 		return s
 	}
+	s.Lags = h.lags()
 	several := h.c.queues() > 1
 	idle := map[bool]int{} // of spot machines, and of the others
 	for _, m := range h.machines {
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -4,6 +4,7 @@
 package coordination
 
 import (
+	"pipitlatch/internal/admission"
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/coordination/fleet"
 	"pipitlatch/internal/micros"
@@ -104,6 +105,9 @@
 	ID      string
 }
 
+// Shed tells that a submission was refused before it was read, for lack of room.
+type Shed struct{}
+
 // ReportIn is a worker's report that wants an answer.
 type ReportIn struct {
 	Request RequestID
@@ -256,6 +260,8 @@
 	Release []string // machines to delete
 	Idle    []string // machines that could go to another queue
 	Lost    []string // zones whose machines its holder does not hear
+
+	Lags []admission.FlowLag // of flows behind their fair share
 }
 
 // JobProgress is what a holder knows of a job, for display elsewhere.
@@ -286,6 +292,8 @@
 	Cancelled     []string // jobs that the receiver may not know to be cancelled
 	CancelledUpTo uint64   // number of the last of them
 	CancelsHeard  []CancelsHeard
+
+	Demand *admission.Demand // what this controller was asked for; nil: nothing new
 }
 
 // ZoneReach is how many machines of a queue in a zone answered a controller, of
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -91,6 +91,7 @@
 		return
 	}
 	c.assignQueues()
+	c.tickAdmission()
 	c.deleteMachines()
 	c.listMachines()
 	c.rentMachines()
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"pipitlatch/internal/admission"
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/coordination/fleet"
 	"pipitlatch/internal/coordination/plan"
@@ -29,7 +30,8 @@
 	q *plan.Queued
 	// guaranteed work does not wait on other teams' borrowed capacity.
 	guaranteed    bool
-	nearObjective bool // its class's tasks are to have begun soon
+	behind        admission.Lag // of its flow, beyond the bound
+	nearObjective bool          // its class's tasks are to have begun soon
 }
 
 // schedule plans the waiting tasks and starts those whose slot is now.
@@ -60,6 +62,7 @@
 		h.c.log(levelInfo, "all machines known", "queue", h.queue, "after_ms", (now-h.taken)/micros.Millisecond)
 	}
 
+	h.advanceShares(silent)
 	services, arrays := h.rankJobs(silent)
 	machines := h.planMachines()
 	var needs []fleet.Need
@@ -92,15 +95,10 @@
 	var queue []*plan.Queued
 	for _, j := range h.order {
 		j.est = 0
-		if j.waiting.Len() == 0 || j.pause > now || j.cancelRequested || j.blocked {
+		if !h.mayStart(j, silent) {
 			continue
 		}
-		// Tasks of a job older than the lease may run on any machine that is not
-		// known yet; nothing of it starts until there is none.
-		if silent && j.version < h.since {
-			continue
-		}
-		r := ranked{j, h.queued(j), h.guaranteed(j), h.nearObjective(j)}
+		r := ranked{j: j, q: h.queued(j), guaranteed: h.guaranteed(j), behind: h.behind(j), nearObjective: h.nearObjective(j)}
 		j.wasGuaranteed = j.wasGuaranteed || r.guaranteed
 		if j.Kind == bookkeeping.Service {
 			services = append(services, r)
@@ -122,6 +120,8 @@
 	switch {
 	case a.guaranteed != b.guaranteed:
 		return first(a.guaranteed)
+	case a.behind != b.behind:
+		return a.behind.Compare(b.behind)
 	case a.nearObjective != b.nearObjective:
 		return first(a.nearObjective)
 	case a.nearObjective:
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -132,7 +132,7 @@
 // adoptReplica takes a fresh copy of the state. What lay between the copies is
 // unknown, so a lease counts as the same only if its version is, and nothing is
 // done under it until the stream has confirmed it once more.
-func (c *Core) adoptReplica(r *storage.Replica, _ micros.Time) {
+func (c *Core) adoptReplica(r *storage.Replica, sent micros.Time) {
 	old := c.replica
 	c.replica, c.synced = r, true
 	c.term.Lapse()
@@ -147,6 +147,7 @@
 		c.queueChanged(n)
 	}
 	c.noteEnds()
+	c.admissionChanged(sent)
 	r.Touched() // everything was looked at
 	c.log(levelInfo, "state read", "revision", r.Revision, "jobs", len(r.Jobs))
 }
@@ -164,9 +165,13 @@
 			case storage.OK:
 				c.term.Confirm(sent)
 				defer func() { c.newsBefore = sent }() // what the next brings came after this
+				seen := c.replica.Admission.Version
 				for _, it := range r.Items {
 					c.apply(it)
 				}
+				if c.replica.Admission.Version != seen {
+					c.admissionChanged(sent)
+				}
 				c.touched()
 				c.replica.Revision = max(c.replica.Revision, r.Revision)
 				c.releaseBarrier()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -107,13 +107,15 @@
 		c.cannotRun(req, id, why)
 		return
 	}
-	in.Job.Submitted = c.wall
-	c.fitRecord(in.Job)
-	if len(in.Job.WaitsOn) > 0 {
-		c.acceptWaiting(req, in.Job)
-		return
-	}
-	c.accept(req, in.Job)
+	c.admit(req, in.Job, func() {
+		in.Job.Submitted = c.wall
+		c.fitRecord(in.Job)
+		if len(in.Job.WaitsOn) > 0 {
+			c.acceptWaiting(req, in.Job)
+			return
+		}
+		c.accept(req, in.Job)
+	})
 }
 
 // fitRecord leaves out of a job's record what says nothing: machine types that do not
@@ -147,14 +149,19 @@
 	}, storage.Prompt, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
 		case storage.OK:
+			c.accepted(job)
 			c.answer(Answer{Request: req, Kind: Accepted, Job: JobView{ID: id, Phase: job.Phase}})
 		case storage.Conflict:
 			c.viewOr(req, id, func() { c.unavailable(req, "try again") })
+		case storage.Refused:
+			c.shed()
+			c.unavailable(req, "the state service does not answer")
 		default:
 			c.unavailable(req, "the state service does not answer")
 		}
 	})
 	if !sent {
+		c.shed()
 		c.answer(Answer{Request: req, Kind: Overloaded, Text: "too many changes", RetryAfter: comeBack})
 	}
 }
--- a/internal/protocol/siblings.go
+++ b/internal/protocol/siblings.go
@@ -5,6 +5,7 @@
 
 	flatbuffers "github.com/google/flatbuffers/go"
 
+	"pipitlatch/internal/admission"
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/coordination"
 	"pipitlatch/internal/coordination/fleet"
@@ -39,6 +40,7 @@
 	queues, shifts, progress := encodeQueues(b, s.Queues), encodeShifts(b, s.Shifts), encodeProgress(b, s.Progress)
 	reach, heard := encodeReach(b, s.Reach), encodeCancelsHeard(b, s.CancelsHeard)
 	cancelled, gone := strings(b, s.Cancelled), strings(b, s.Gone)
+	demand := encodeDemand(b, s.Demand)
 	member, incarnation := b.CreateString(s.From.Member), b.CreateString(s.From.Incarnation)
 	wire.StatusStart(b)
 	wire.StatusAddMember(b, member)
@@ -55,6 +57,9 @@
 	wire.StatusAddCancelled(b, cancelled)
 	wire.StatusAddCancelledUpTo(b, s.CancelledUpTo)
 	wire.StatusAddCancelsHeard(b, heard)
+	if s.Demand != nil {
+		wire.StatusAddDemand(b, demand)
+	}
 	b.Finish(wire.StatusEnd(b))
 	return b.FinishedBytes()
 }
@@ -63,6 +68,7 @@
 	var queues []flatbuffers.UOffsetT
 	for _, q := range list {
 		needs, release, idle, lost := encodeNeeds(b, q.Needs), strings(b, q.Release), strings(b, q.Idle), strings(b, q.Lost)
+		lags := encodeLags(b, q.Lags)
 		wire.QueueStatusStart(b)
 		wire.QueueStatusAddQueue(b, int32(q.Queue))
 		wire.QueueStatusAddToken(b, q.Token)
@@ -70,6 +76,7 @@
 		wire.QueueStatusAddRelease(b, release)
 		wire.QueueStatusAddIdle(b, idle)
 		wire.QueueStatusAddLost(b, lost)
+		wire.QueueStatusAddLags(b, lags)
 		queues = append(queues, wire.QueueStatusEnd(b))
 	}
 	return vector(b, queues)
@@ -148,6 +155,70 @@
 	return vector(b, heard)
 }
 
+func encodeLags(b *flatbuffers.Builder, list []admission.FlowLag) flatbuffers.UOffsetT {
+	var lags []flatbuffers.UOffsetT
+	for _, l := range list {
+		team, class := b.CreateString(l.Flow.Team), b.CreateString(l.Flow.Class)
+		wire.FlowLagStart(b)
+		wire.FlowLagAddTeam(b, team)
+		wire.FlowLagAddClass(b, class)
+		wire.FlowLagAddTeamLag(b, l.Lag.Team)
+		wire.FlowLagAddClassLag(b, l.Lag.Class)
+		lags = append(lags, wire.FlowLagEnd(b))
+	}
+	return vector(b, lags)
+}
+
+// encodeDemand writes what a controller was asked for; a flow whose sketch can't be written
+// is left out: the next message has it.
+func encodeDemand(b *flatbuffers.Builder, d *admission.Demand) flatbuffers.UOffsetT {
+	if d == nil {
+		return 0
+	}
+	var flows []flatbuffers.UOffsetT
+	for _, f := range d.Flows {
+		sketch, err := admission.EncodeSketch(f.Asked)
+		if err != nil {
+			continue
+		}
+		asked := b.CreateByteVector(sketch)
+		team, class := b.CreateString(f.Flow.Team), b.CreateString(f.Flow.Class)
+		wire.FlowDemandStart(b)
+		wire.FlowDemandAddTeam(b, team)
+		wire.FlowDemandAddClass(b, class)
+		wire.FlowDemandAddAsked(b, asked)
+		wire.FlowDemandAddAccepted(b, f.Accepted)
+		wire.FlowDemandAddAdmitted(b, f.Admitted)
+		flows = append(flows, wire.FlowDemandEnd(b))
+	}
+	list := vector(b, flows)
+	wire.DemandStart(b)
+	wire.DemandAddFlows(b, list)
+	wire.DemandAddRefused(b, d.Refused)
+	wire.DemandAddAdmitted(b, d.Admitted)
+	wire.DemandAddAcceptRate(b, d.AcceptRate)
+	return wire.DemandEnd(b)
+}
+
+// decodeDemand reads what a sibling was asked for.
+func decodeDemand(w *wire.Demand) (*admission.Demand, error) {
+	if n := w.FlowsLength(); n > 2*admission.MaxFlows {
+		return nil, fmt.Errorf("damaged status: %d flows", n)
+	}
+	d := &admission.Demand{Refused: w.Refused(), Admitted: w.Admitted(), AcceptRate: w.AcceptRate()}
+	for i := range w.FlowsLength() {
+		var f wire.FlowDemand
+		w.Flows(&f, i)
+		asked, err := admission.DecodeSketch(f.AskedBytes())
+		if err != nil {
+			return nil, fmt.Errorf("damaged status: %w", err)
+		}
+		d.Flows = append(d.Flows, admission.FlowDemand{Flow: admission.Flow{Team: string(f.Team()), Class: string(f.Class())},
+			Asked: asked, Accepted: f.Accepted(), Admitted: f.Admitted()})
+	}
+	return d, nil
+}
+
 func stringList(n int, at func(int) []byte) []string {
 	var out []string
 	for i := range n {
@@ -198,6 +269,12 @@
 		w.Progress(&p, i)
 		s.Progress = append(s.Progress, coordination.JobProgress{ID: string(p.Job()), Done: int(p.Done()), Running: int(p.Running())})
 	}
+	if demand := w.Demand(nil); demand != nil {
+		// What is wrong with it must not lose what else the message tells.
+		if d, err := decodeDemand(demand); err == nil {
+			s.Demand = d
+		}
+	}
 	if s.From.Member == "" {
 		return nil, fmt.Errorf("damaged status: no member")
 	}
@@ -207,6 +284,11 @@
 func decodeQueue(q *wire.QueueStatus) coordination.QueueStatus {
 	out := coordination.QueueStatus{Queue: int(q.Queue()), Token: q.Token(),
 		Release: stringList(q.ReleaseLength(), q.Release), Idle: stringList(q.IdleLength(), q.Idle), Lost: stringList(q.LostLength(), q.Lost)}
+	for k := range q.LagsLength() {
+		var l wire.FlowLag
+		q.Lags(&l, k)
+		out.Lags = append(out.Lags, admission.FlowLag{Flow: admission.Flow{Team: string(l.Team()), Class: string(l.Class())}, Lag: admission.Lag{Team: l.TeamLag(), Class: l.ClassLag()}})
+	}
 	for k := range q.NeedsLength() {
 		var n wire.Need
 		q.Needs(&n, k)
--- a/internal/protocol/wire/QueueStatus.go
+++ b/internal/protocol/wire/QueueStatus.go
@@ -128,8 +128,28 @@
 	return 0
 }
 
+func (rcv *QueueStatus) Lags(obj *FlowLag, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *QueueStatus) LagsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func QueueStatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(7)
 }
 func QueueStatusAddQueue(builder *flatbuffers.Builder, queue int32) {
 	builder.PrependInt32Slot(0, queue, 0)
@@ -161,6 +181,12 @@
 func QueueStatusStartLostVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func QueueStatusAddLags(builder *flatbuffers.Builder, lags flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(lags), 0)
+}
+func QueueStatusStartLagsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func QueueStatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/protocol/wire/Status.go
+++ b/internal/protocol/wire/Status.go
@@ -243,8 +243,21 @@
 	return 0
 }
 
+func (rcv *Status) Demand(obj *Demand) *Demand {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(Demand)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
 func StatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(14)
+	builder.StartObject(15)
 }
 func StatusAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -309,6 +322,9 @@
 func StatusStartCancelsHeardVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func StatusAddDemand(builder *flatbuffers.Builder, demand flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(14, flatbuffers.UOffsetT(demand), 0)
+}
 func StatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- /dev/null
+++ b/internal/scenario/admission.go
@@ -0,0 +1,121 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+
+	"pipitlatch/internal/coordination"
+	"pipitlatch/internal/micros"
+)
+
+// fairSettings are a node's operators' settings of fair admission: `fair=yes` for all nodes,
+// `fair=some` for all but the last, `lag=20`, `weights=alpha:3,beta.bulk:2`.
+func fairSettings(l *line, node int) string {
+	fair := l.set["fair"]
+	if fair == "" || (fair == "some" && node == int(l.num("nodes", 3))-1) {
+		return ""
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "fair_admission { enabled: true lag_s: %d ", int(l.num("lag", 60)))
+	for _, w := range strings.FieldsFunc(l.set["weights"], func(r rune) bool { return r == ',' }) {
+		name, weight, _ := strings.Cut(w, ":")
+		team, class, _ := strings.Cut(name, ".")
+		fmt.Fprintf(&b, "weights { team: %q class: %q weight: %s } ", team, class, weight)
+	}
+	b.WriteString("}")
+	return b.String()
+}
+
+// epochID names an epoch: a leader uses a number once.
+type epochID struct{ leader, number uint64 }
+
+// verdicts are what controllers said to submissions under epochs, from their logs.
+type verdicts struct {
+	said map[epochID]map[string]bool
+}
+
+// hearLog holds what a controller logs of admission against the rule that no reference gets
+// two verdicts in one epoch, whichever nodes it asks.
+func (w *World) hearLog(l coordination.LogLine) {
+	if l.Text != "verdict" {
+		return
+	}
+	fields := map[string]any{}
+	for i := 0; i+1 < len(l.Args); i += 2 {
+		if name, ok := l.Args[i].(string); ok {
+			fields[name] = l.Args[i+1]
+		}
+	}
+	job, _ := fields["job"].(string)
+	number, _ := fields["epoch"].(uint64)
+	leader, _ := fields["leader"].(uint64)
+	admit, ok := fields["admit"].(bool)
+	if !ok || number == 0 {
+		w.breakRule("bench", "verdict of another form: %v", l.Args)
+		return
+	}
+	w.verdicts.take(w, epochID{leader, number}, job, admit)
+}
+
+func (v *verdicts) take(w *World, epoch epochID, job string, admit bool) {
+	if v.said == nil {
+		v.said = map[epochID]map[string]bool{}
+	}
+	if v.said[epoch] == nil {
+		v.said[epoch] = map[string]bool{}
+	}
+	if had, ok := v.said[epoch][job]; ok && had != admit {
+		w.breakRule("two_verdicts", "%s: %v and %v in epoch %d", job, had, admit, epoch.number)
+	}
+	v.said[epoch][job] = admit
+}
+
+// ofClass are the jobs of a class.
+func (u *users) ofClass(class string) []*userJob {
+	var out []*userJob
+	for _, ref := range u.order {
+		if j := u.jobs[ref]; j.class == class {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// expectTaken: the share of a class's jobs that were accepted.
+func (w *World) expectTaken(l *line, _ *userJob) string {
+	jobs, taken := w.users.ofClass(l.word(2)), 0
+	for _, j := range jobs {
+		if j.accepted != 0 {
+			taken++
+		}
+	}
+	if len(jobs) == 0 {
+		return "no jobs"
+	}
+	if share := float64(taken) / float64(len(jobs)); share < l.num("least", 0) || share > l.num("most", 1) {
+		return fmt.Sprintf("%d of %d", taken, len(jobs))
+	}
+	return ""
+}
+
+// expectBegun: every job of a class that was accepted long enough ago began in time.
+func (w *World) expectBegun(l *line, _ *userJob) string {
+	within := l.secs("within", 60)
+	for _, j := range w.users.ofClass(l.word(2)) {
+		if j.accepted == 0 || j.cancelled != 0 || w.now-j.accepted < within {
+			continue
+		}
+		if j.firstStart == 0 || j.firstStart-j.accepted > within {
+			return fmt.Sprintf("%s began %v s after it was accepted", j.ref, micros.Seconds(j.firstStart-j.accepted))
+		}
+	}
+	return ""
+}
+
+// expectEpochs: under which submissions were judged.
+func (w *World) expectEpochs(l *line, _ *userJob) string {
+	if n := float64(len(w.verdicts.said)); n < l.num("least", 0) || n > l.num("most", 1e9) {
+		return fmt.Sprintf("%v", n)
+	}
+	return ""
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -228,8 +228,8 @@
 	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
 	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
 	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = %v\nmax_connections = %d\n", l.num("cloud_rps", 6), l.num("memory", 125), int(l.num("connections", 1000)))
-	operator := fmt.Sprintf("queues: %d", int(l.num("queues", 1)))
 	for i := range nodes {
+		operator := fmt.Sprintf("queues: %d ", int(l.num("queues", 1))) + fairSettings(l, i)
 		var own strings.Builder
 		zone := func(k int) string { return nodeZones[k%len(nodeZones)] }
 		fmt.Fprintf(&own, "member = \"node-%d\"\nzone = %q\n", i, zone(i))
@@ -569,7 +569,12 @@
 func (w *World) submitJob(l *line, i int) {
 	n, _ := strconv.Atoi(strings.TrimPrefix(l.word(1), "wk-"))
 	ref := fmt.Sprintf("wk-%06d", n+i)
-	j := w.users.parse(ref, l.set)
+	fields := l.set
+	if classes := int(l.num("classes", 0)); classes > 0 { // so many, in turn
+		fields = maps.Clone(l.set)
+		fields["class"] = fmt.Sprintf("%s-%d", l.set["class"], i%classes)
+	}
+	j := w.users.parse(ref, fields)
 	w.state.recall(j)
 	w.users.submit(j)
 	if share := l.num("cancelled", 0); share > 0 && w.rng.Float64() < share {
@@ -610,6 +615,8 @@
 		}
 	case "load":
 		s.load(l.word(2))
+	case "write": // as somebody who does not keep to any form
+		s.write(l.word(2), l.word(3))
 	case "limits": // from now on
 		s.txnOps, s.valueMax, s.writeRPS = int(l.num("ops", 4)), int(l.num("kb", 2)*1024), l.num("write_rps", 18)
 	case "delay": // transactions that set this key
@@ -686,6 +693,9 @@
 	"too-large":     (*World).expectTooLarge,
 	"told":          (*World).expectTold,
 	"holders":       (*World).expectHolders,
+	"taken":         (*World).expectTaken,
+	"begun":         (*World).expectBegun,
+	"epochs":        (*World).expectEpochs,
 }
 
 // expect says why an expectation is not met, or nothing.
--- a/internal/scenario/state.go
+++ b/internal/scenario/state.go
@@ -401,6 +401,14 @@
 	return 200, encode(map[string]any{"ledger": s.ledger})
 }
 
+// write sets a key, whatever its record should look like.
+func (s *stateService) write(key, value string) {
+	s.ledger++
+	s.keys[key] = stateKey{value: json.RawMessage(value), stamp: s.ledger}
+	s.log = append(s.log, stateEvent{stamp: s.ledger, key: key, value: json.RawMessage(value)})
+	s.wake()
+}
+
 // left is what a deployment left in the state service, and said to its siblings.
 type left struct {
 	Ledger uint64 `json:"ledger"`
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -16,6 +16,11 @@
 	ref           string
 	shape         string
 	owner         string
+	class         string
+	ignores       bool        // its user comes back after a second, whatever it was told
+	everywhere    bool        // its user asks at every node in the same instant
+	retryAfter    micros.Time // as it was last told
+	created       int         // answers that it was accepted anew
 	shards        int
 	cores, ram    float64
 	bundle        string
@@ -184,11 +189,57 @@
 			case coordination.Overloaded:
 				status = 429
 			}
-			w.send(n.name, "users", func() { end(status, body) })
+			w.send(n.name, "users", func() {
+				if j != nil {
+					j.retryAfter = a.RetryAfter
+				}
+				end(status, body)
+			})
 		})
 	})
 }
 
+// askElsewhere sends a submission to all nodes but the one that its user is connected to.
+func (u *users) askElsewhere(j *userJob, input func(coordination.RequestID) coordination.Input) {
+	for _, b := range u.balance {
+		if j.conn == b || !b.n.up() {
+			continue
+		}
+		u.w.send("users", b.n.name, func() {
+			b.n.ask(input, func(a coordination.Answer) {
+				if a.Kind == coordination.Accepted {
+					u.accepted(j, 201)
+				}
+			})
+		})
+	}
+}
+
+// accepted notes that a job was accepted: anew once at most.
+func (u *users) accepted(j *userJob, status int) {
+	if status == 201 {
+		if j.created++; j.created > 1 {
+			u.w.breakRule("accepted_twice", "%s: 201 a second time", j.ref)
+		}
+	}
+	if j.accepted == 0 {
+		j.accepted = u.w.now
+		u.lookClosely(j)
+		u.w.after(u.w.rng.Int64N(5*micros.Second), func() { u.poll(j) })
+	}
+}
+
+// comeBack is when a user submits again that was refused.
+func (u *users) comeBack(j *userJob) micros.Time {
+	wait := micros.Second
+	if !j.ignores {
+		// Retry-After is in whole seconds, and up to 30 s of it is honoured.
+		whole := (j.retryAfter + micros.Second - 1) / micros.Second * micros.Second
+		wait = max(wait, min(whole, 30*micros.Second))
+	}
+	return wait + u.w.rng.Int64N(micros.Second/2)
+}
+
 func (u *users) submit(j *userJob) {
 	if u.jobs[j.ref] == nil {
 		u.jobs[j.ref] = j
@@ -197,36 +248,34 @@
 	}
 	j.sent = true
 	body := j.body
-	u.ask(j, 5*micros.Second, func(id coordination.RequestID) coordination.Input {
+	input := func(id coordination.RequestID) coordination.Input {
 		ref, job, err := protocol.ParseSubmission(body)
 		s := &coordination.Submit{Request: id, ID: ref, Job: job}
 		if err != nil {
 			s.Job, s.Fault = nil, err.Error()
 		}
 		return s
-	}, func(status int, body []byte) {
+	}
+	j.retryAfter = 0
+	u.ask(j, 5*micros.Second, input, func(status int, body []byte) {
 		switch status {
 		case 200, 201:
-			again := j.accepted != 0
-			if !again {
-				j.accepted = u.w.now
-			}
+			u.accepted(j, status)
 			u.hear(j, body)
-			if !again {
-				u.lookClosely(j)
-				u.w.after(u.w.rng.Int64N(5*micros.Second), func() { u.poll(j) })
-			}
 		case 400, 422:
 			j.refused = status
 			if j.accepted != 0 {
 				u.w.breakRule("forgotten", "%s: accepted, then answered %d", j.ref, status)
 			}
 		default:
-			if u.w.now-j.first < 60*micros.Second {
-				u.w.after(micros.Second+u.w.rng.Int64N(micros.Second/2), func() { u.submit(j) })
+			if wait := u.comeBack(j); u.w.now+wait-j.first < 60*micros.Second {
+				u.w.after(wait, func() { u.submit(j) })
 			}
 		}
 	})
+	if j.everywhere {
+		u.askElsewhere(j, input)
+	}
 }
 
 func (u *users) poll(j *userJob) {
@@ -453,10 +502,11 @@
 		oneZone: fields["one_zone"] != "", apart: fields["apart"] != "", loaners: fields["spot"] != "",
 		runs: micros.FromSeconds(num("runs", 20)), snapshotEvery: num("snapshot", 0), snapshotS: num("save", 0),
 		odd: num("odd", 1), mistaken: fields["mistaken"] != "", done: map[int]bool{}}
+	j.class, j.ignores, j.everywhere = str("class", "class-1"), fields["ignores"] != "", fields["everywhere"] != ""
 	if v := fields["types"]; v != "" {
 		j.hulls = strings.Split(v, ",")
 	}
-	b := map[string]any{"ref": ref, "jobclass": str("class", "class-1"), "owner": j.owner, "shape": j.shape, "rank": str("rank", "standard"),
+	b := map[string]any{"ref": ref, "jobclass": j.class, "owner": j.owner, "shape": j.shape, "rank": str("rank", "standard"),
 		"shards": j.shards, "cores": j.cores, "gpus": 0, "ram_gb": j.ram, "bundle": j.bundle, "size_gb": j.sizeGB, "hulls": j.hulls,
 		"berth": nil, "one_zone": j.oneZone, "apart": j.apart, "loaners": j.loaners, "expect_s": num("expect", micros.Seconds(j.runs)),
 		"snapshot_every_s": j.snapshotEvery, "snapshot_s": j.snapshotS, "due_s": nil, "surprise": true}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -54,21 +54,22 @@
 
 // World is the simulated deployment.
 type World struct {
-	now     micros.Time
-	queue   events
-	seq     int
-	rng     *rand.Rand
-	conf    *config.Config
-	nodes   []*node
-	state   *stateService
-	cloud   *cloud
-	users   *users
-	cuts    []*cut
-	vain    int         // starts sent into a cut
-	calm    micros.Time // when the last trouble so far is over
-	unknown micros.Time // the longest that a holder did not know all its machines
-	taken   int         // how often a queue got a holder
-	kept    [][]byte    // reports whose copies come to the next holder
+	now      micros.Time
+	queue    events
+	seq      int
+	rng      *rand.Rand
+	conf     *config.Config
+	nodes    []*node
+	state    *stateService
+	cloud    *cloud
+	users    *users
+	cuts     []*cut
+	vain     int         // starts sent into a cut
+	calm     micros.Time // when the last trouble so far is over
+	unknown  micros.Time // the longest that a holder did not know all its machines
+	taken    int         // how often a queue got a holder
+	verdicts verdicts
+	kept     [][]byte // reports whose copies come to the next holder
 
 	distance micros.Time // between zones, one way
 	zoned    bool        // controllers are in zones too
@@ -238,6 +239,7 @@
 				w.unknown = max(w.unknown, ms*micros.Millisecond)
 			}
 		}
+		w.hearLog(l)
 		w.logf("%10.3f %s %s %v", micros.Seconds(w.now), n.name, l.Text, l.Args)
 	}
 	for _, a := range out.Answers {
--- a/internal/scenario/writes_test.go
+++ b/internal/scenario/writes_test.go
@@ -15,21 +15,22 @@
 // changes in one transaction. A list of needed jobs, a block, ranges and catalog are as long
 // as the limits let them be; the others are bounded by themselves.
 var writeKinds = map[string]struct{ value, operations int }{
-	"set leader":   {value: 20},
-	"set node":     {value: 20},
-	"set queue":    {value: 30},
-	"set format":   {value: 5},
-	"set block":    {value: 1200},
-	"set job":      {value: 1750},
-	"set ~over":    {value: 60, operations: 4},
-	"set fin":      {value: 600, operations: 4},
-	"set wait":     {value: 880, operations: 4},
-	"set types":    {value: 1800, operations: 3},
-	"set catalog":  {value: 1700},
-	"delete block": {operations: 1},
-	"delete fin":   {operations: 4},
-	"delete job":   {operations: 4},
-	"delete wait":  {operations: 4},
+	"set leader":    {value: 20},
+	"set node":      {value: 20},
+	"set queue":     {value: 30},
+	"set format":    {value: 5},
+	"set block":     {value: 1200},
+	"set job":       {value: 1750},
+	"set ~over":     {value: 60, operations: 4},
+	"set fin":       {value: 600, operations: 4},
+	"set wait":      {value: 880, operations: 4},
+	"set types":     {value: 1800, operations: 3},
+	"set catalog":   {value: 1700},
+	"set admission": {value: 1400},
+	"delete block":  {operations: 1},
+	"delete fin":    {operations: 4},
+	"delete job":    {operations: 4},
+	"delete wait":   {operations: 4},
 }
 
 // keysNeverSet are methods of storage.Keys that name no record: prefixes, and the key that
@@ -78,6 +79,12 @@
 at 60 cancel wk-000011
 at 100 crash holder back=2
 until 400`,
+		"many flows": `cluster seed=5 next=yes fair=yes connections=2000 write_rps=18 teams=alpha:0:0,beta:0:0,gamma:0:0
+type small cores=8 ram=32 room=6 spot_room=0 boot=5 fetch=5
+at 0 state limits write_rps=18
+at 10 submit wk-001000 jobs=900 every=0.03 class=a classes=70 cores=1 ram=1 runs=1 team=alpha
+at 10 submit wk-002000 jobs=900 every=0.03 class=b classes=50 cores=1 ram=1 runs=1 team=beta
+until 60`,
 		"one catalog": `cluster seed=5 next=yes
 type small n=12 cores=8 ram=32 room=2 spot_room=2
 at 0 state limits
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -109,6 +109,9 @@
 // Types is the key of a part of the catalog.
 func (k Keys) Types(n int) string { return k.Prefix + "types/" + strconv.Itoa(n) }
 
+// Admission is the key of the admission epoch.
+func (k Keys) Admission() string { return k.Prefix + "admission" }
+
 // Format is the key that says which forms of records may be written.
 func (k Keys) Format() string { return k.Prefix + "format" }
 
@@ -168,6 +171,9 @@
 	Archived bool                    // jobs that were over long ago were moved out of Jobs
 	orphans  map[string]map[int]Item // finished ranges listed before their job
 
+	// Admission is the admission epoch's record as it is stored; it is read elsewhere.
+	Admission Versioned[json.RawMessage]
+
 	Formats map[string]int // what each registered member writes, by its registration
 	Format  int            // what may be written
 	waits
@@ -221,6 +227,8 @@
 		changed, err = r.applyCatalog(it)
 	case "node":
 		changed, err = r.applyNode(id, it)
+	case "admission":
+		changed = r.applyAdmission(it)
 	case "format":
 		changed, err = r.applyFormat(it)
 	case "types":
@@ -276,6 +284,15 @@
 	return err == nil, err
 }
 
+// applyAdmission takes the record of the admission epoch, whatever is in it.
+func (r *Replica) applyAdmission(it Item) bool {
+	if r.Admission.Version >= it.Version {
+		return false
+	}
+	r.Admission = Versioned[json.RawMessage]{Value: it.Value, Version: it.Version}
+	return true
+}
+
 // applyNode takes a member's registration, and what its version writes.
 func (r *Replica) applyNode(member string, it Item) (bool, error) {
 	changed, err := applyTo(r.Nodes, member, it)
--- a/internal/storage/request.go
+++ b/internal/storage/request.go
@@ -119,6 +119,9 @@
 	b.writeRate = max(b.writeFair, b.writeTotal-u.Writes-b.writeFair/2)
 }
 
+// WriteTotal is how many changes a second all controllers may make, in thousandths.
+func (b *Budget) WriteTotal() int64 { return b.writeTotal }
+
 // Recent is what was used here of late.
 func (b *Budget) Recent() Usage { return b.recent }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -19,25 +19,27 @@
 // after 5 s and 4 s.
 const patience = 3500 * time.Millisecond
 
-// admission limits users' requests in progress; the limit adjusts itself to how
+// requestLimit limits users' requests in progress; the limit adjusts itself to how
 // long they take. What is above it is refused at once, never queued. Reports,
 // probes and cancellations are not subject to it.
-type admission struct {
+type requestLimit struct {
 	limiter adaptivelimiter.AdaptiveLimiter[any]
 }
 
-func newAdmission(most uint) *admission {
+func newRequestLimit(most uint) *requestLimit {
 	// The least is what users ask for all at once after an outage; below it the
 	// limit would refuse them for nothing.
 	least := max(most/4, min(most, 16))
-	return &admission{adaptivelimiter.NewBuilder[any]().WithLimits(least, most, max(least, most/2)).
+	return &requestLimit{adaptivelimiter.NewBuilder[any]().WithLimits(least, most, max(least, most/2)).
 		WithMaxLimitFactor(16).Build()}
 }
 
-func (a *admission) guard(next http.HandlerFunc) http.HandlerFunc {
+// guard subjects a handler to the limit; refused is called for every request above it.
+func (a *requestLimit) guard(next http.HandlerFunc, refused func()) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		permit, ok := a.limiter.TryAcquirePermit()
 		if !ok {
+			refused()
 			refuse(w, http.StatusTooManyRequests, "too many requests", micros.Second)
 			return
 		}
@@ -47,19 +49,28 @@
 }
 
 func (d *Driver) routes(l *boundedListener) http.Handler {
-	adm := newAdmission(uint(d.cfg.Operator.MaxInProgress))
+	limit := newRequestLimit(uint(d.cfg.Operator.MaxInProgress))
 	r := chi.NewRouter()
 	r.Get("/up", d.up)
 	r.Post("/v1/report", d.report)
 	r.Route("/submissions", func(r chi.Router) {
 		r.Use(l.sparing)
-		r.Post("/", adm.guard(d.submit))
-		r.Get("/{id}", adm.guard(d.lookup))
+		r.Post("/", limit.guard(d.submit, d.shed))
+		r.Get("/{id}", limit.guard(d.lookup, func() {}))
 		r.Post("/{id}/abort", d.abort)
 	})
 	return r
 }
 
+// shed tells the core that a submission was refused unread. One that finds no room does not
+// matter: then there are many.
+func (d *Driver) shed() {
+	select {
+	case d.inputs <- &coordination.Shed{}:
+	default:
+	}
+}
+
 func write(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,14 +129,15 @@
 	}
 }
 
-func TestAdmissionRefusesAtOnce(t *testing.T) {
+func TestLimitRefusesAtOnce(t *testing.T) {
 	hold, entered := make(chan bool), make(chan bool, 64)
-	adm := newAdmission(4)
-	srv := httptest.NewServer(adm.guard(func(w http.ResponseWriter, _ *http.Request) {
+	var refused atomic.Int64
+	limit := newRequestLimit(4)
+	srv := httptest.NewServer(limit.guard(func(w http.ResponseWriter, _ *http.Request) {
 		entered <- true
 		<-hold
 		write(w, 200, nil)
-	}))
+	}, func() { refused.Add(1) }))
 	defer srv.Close()
 	done := make(chan int, 4)
 	for range 4 {
