--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 )
@@ -142,3 +143,36 @@
 		}
 	}
 }
+
+// TestFairAdmissionSettings: the file of deploy/ is valid, and whatever is wrong is named, a
+// line each.
+func TestFairAdmissionSettings(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/fair-admission.textproto")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse([]byte(good), text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f := c.Operator.FairAdmission; !f.Enabled || f.EpochMs != 4000 || f.FloorPercent != 25 || f.LagS != 60 {
+		t.Errorf("got %+v", f)
+	}
+	if c, err = Parse([]byte(good), nil); err != nil || c.Operator.FairAdmission.Enabled {
+		t.Errorf("not off by default: %v", err)
+	}
+	bad := `fair_admission { enabled: true epoch_ms: 500 floor_percent: 101 lag_s: 4000
+		weights { team: "nobody" weight: 2 } weights { team: "alpha" weight: 2000 } weights { team: "alpha" weight: 3 } weights { team: "alpha" class: "x" } }`
+	_, err = Parse([]byte(good), []byte(bad))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, field := range []string{"epoch_ms", "floor_percent", "lag_s", "weights[0].team", "weights[1].weight", "weights[2]", "weights[3].weight"} {
+		if strings.Count(err.Error(), "operator.fair_admission."+field+":") != 1 {
+			t.Errorf("%s is not named once: %v", field, err)
+		}
+	}
+	if n := strings.Count(err.Error(), "\n"); n != 6 {
+		t.Errorf("%d lines: %v", n+1, err)
+	}
+}
--- /dev/null
+++ b/internal/coordination/admission_test.go
@@ -0,0 +1,156 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+
+	"pipitlatch/internal/admission"
+	"pipitlatch/internal/bookkeeping"
+	"pipitlatch/internal/config"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// newFair is a core that serves, with fair admission, and one epoch in force that admits
+// nothing but a sliver.
+func newFair(t *testing.T) *Core {
+	t.Helper()
+	cfg, err := config.Parse([]byte(benchSettings), []byte("fair_admission { enabled: true }"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := New(cfg, "1")
+	c.catalog = bookkeeping.Catalog{"m": {Name: "m", Zones: []string{"a"}, Capacity: bookkeeping.Resources{CPU: 8000, Mem: 32_000}}}
+	c.now, c.wall, c.out = micros.Second, micros.Second, &Output{}
+	r := storage.NewReplica(c.keys)
+	r.Revision = 10
+	epoch := &admission.Epoch{Number: 3, Leader: 2, Written: micros.Second, Length: 4 * micros.Second, Validity: 12 * micros.Second,
+		Rest: admission.Window{Start: 0, Width: 1}}
+	if _, _, err := r.Apply(storage.Item{Key: c.keys.Admission(), Value: storage.Encode(epoch), Version: 9}); err != nil {
+		t.Fatal(err)
+	}
+	c.adoptReplica(r, micros.Second)
+	c.term.Confirm(c.now)
+	return c
+}
+
+func testJob(n int) *bookkeeping.Job {
+	return &bookkeeping.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "c", Team: "alpha", Tasks: 1, Need: bookkeeping.Resources{CPU: 1000, Mem: 1000}}
+}
+
+// ask submits a job and completes the reads of the state service that follow.
+func ask(c *Core, at micros.Time, job *bookkeeping.Job, complete func(*storage.Request) *storage.Reply) []Answer {
+	out := c.Step(at, at, &Submit{Request: 1, ID: job.ID, Job: job})
+	answers := out.Answers
+	for calls := out.State; len(calls) > 0; {
+		call := calls[0]
+		calls = calls[1:]
+		if r := complete(call.Request); r != nil {
+			out := c.Step(at, at, &StateDone{Call: call.Call, Reply: r})
+			answers, calls = append(answers, out.Answers...), append(calls, out.State...)
+		}
+	}
+	return answers
+}
+
+// TestRefusalIsLookedUpFirst: a job that another controller just took, or that was moved to
+// the archive, is answered as known though the epoch does not admit it; what is not known
+// gets its turn; and when that can't be found out, 503.
+func TestRefusalIsLookedUpFirst(t *testing.T) {
+	known := testJob(7)
+	for name, c := range map[string]struct {
+		archived bool
+		barrier  storage.Outcome
+		want     AnswerKind
+	}{
+		"not known":       {want: Overloaded, barrier: storage.NotFound},
+		"in the archive":  {want: View, barrier: storage.NotFound, archived: true},
+		"cannot be found": {want: Unavailable, barrier: storage.Lost},
+	} {
+		core := newFair(t)
+		core.replica.Archived = true
+		answers := ask(core, 2*micros.Second, known, func(r *storage.Request) *storage.Reply {
+			switch {
+			case r.Kind == storage.Get && r.Key == core.keys.Barrier():
+				return &storage.Reply{Outcome: c.barrier, Revision: 10}
+			case r.Kind == storage.Get && c.archived:
+				return &storage.Reply{Outcome: storage.OK, Items: []storage.Item{{Key: r.Key, Version: 5, Value: storage.Encode(known.Final(bookkeeping.Done))}}}
+			case r.Kind == storage.Get:
+				return &storage.Reply{Outcome: storage.NotFound, Revision: 10}
+			case r.Kind == storage.Commit && len(r.Puts) > 0 && r.Puts[0].Key == core.keys.Job(known.ID):
+				t.Errorf("%s: it is stored though it is not admitted", name)
+			}
+			return nil
+		})
+		if len(answers) != 1 || answers[0].Kind != c.want {
+			t.Errorf("%s: %+v", name, answers)
+			continue
+		}
+		if a := answers[0]; a.Kind == Overloaded && (a.RetryAfter < micros.Second || a.RetryAfter > admission.MaxTurn) {
+			t.Errorf("%s: come back after %d", name, a.RetryAfter)
+		}
+	}
+}
+
+// TestNoEpochNoRefusal: once the epoch has ended by itself, jobs are stored as ever; and so
+// they are while fair admission is off, whatever is stored.
+func TestNoEpochNoRefusal(t *testing.T) {
+	for name, change := range map[string]func(c *Core){
+		"it ended": func(c *Core) { c.now += 13 * micros.Second; c.term.Confirm(c.now) },
+		"off":      func(c *Core) { c.fair = nil },
+	} {
+		c := newFair(t)
+		change(c)
+		stored := false
+		ask(c, c.now, testJob(7), func(r *storage.Request) *storage.Reply {
+			stored = stored || (r.Kind == storage.Commit && len(r.Puts) > 0 && r.Puts[0].Key == c.keys.Job("wk-000007"))
+			return nil
+		})
+		if !stored {
+			t.Errorf("%s: not stored", name)
+		}
+	}
+}
+
+// TestCancellationsAreNotJudged: cancellations and questions never meet a verdict.
+func TestCancellationsAreNotJudged(t *testing.T) {
+	c := newFair(t)
+	job := testJob(8)
+	if _, _, err := c.replica.Apply(storage.Item{Key: c.keys.Job(job.ID), Value: storage.Encode(job), Version: 11}); err != nil {
+		t.Fatal(err)
+	}
+	out := c.Step(c.now, c.now, &Cancel{Request: 1, ID: job.ID})
+	cancelled := false
+	for _, call := range out.State {
+		cancelled = cancelled || (call.Request.Kind == storage.Commit && len(call.Request.Puts) > 0 && call.Request.Puts[0].Key == c.keys.Job(job.ID))
+	}
+	if !cancelled {
+		t.Errorf("%+v", out)
+	}
+}
+
+// TestBadRecordsAreLoggedRarely: whoever writes nonsense there fills no log.
+func TestBadRecordsAreLoggedRarely(t *testing.T) {
+	c := newFair(t)
+	lines := 0
+	for i := range 100 {
+		c.now += 50 * micros.Millisecond
+		c.out = &Output{}
+		item := storage.Item{Key: c.keys.Admission(), Value: []byte(`{"n":`), Version: uint64(20 + i)}
+		if _, _, err := c.replica.Apply(item); err != nil {
+			t.Fatal(err)
+		}
+		c.admissionChanged(c.now)
+		for _, l := range c.out.Log {
+			if l.Level >= levelWarn {
+				lines++
+			}
+		}
+	}
+	if lines < 1 || lines > 2 {
+		t.Errorf("%d lines in 5 s", lines)
+	}
+	if e := c.fair.view.Current(c.now); e == nil || e.Number != 3 {
+		t.Error("the epoch before is not in force")
+	}
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -1,12 +1,14 @@
 package protocol
 
 import (
+	"bytes"
 	"reflect"
 	gostrings "strings"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"pipitlatch/internal/admission"
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/coordination"
 	"pipitlatch/internal/coordination/fleet"
@@ -119,3 +121,46 @@
 		}
 	}
 }
+
+// TestDemandAndLags: what controllers tell each other of demand and lags arrives; a damaged
+// sketch loses the demand, not what else the message tells.
+func TestDemandAndLags(t *testing.T) {
+	tracker := admission.NewTracker(2)
+	flow := admission.Flow{Team: "alpha", Class: "short"}
+	for i := range 50 {
+		tracker.Asked(1, flow, gostrings.Repeat("x", i))
+	}
+	tracker.Accepted(1, flow)
+	tracker.Admitted(1, flow)
+	tracker.Refused(1)
+	demand := tracker.Demand(2)
+	s := &coordination.Status{From: storage.Process{Member: "a", Incarnation: "x"}, Demand: &demand, Queues: []coordination.QueueStatus{{
+		Queue: 1, Token: 9, Lags: []admission.FlowLag{{Flow: flow, Lag: admission.Lag{Team: 5, Class: -7}}}}}}
+	raw := EncodeStatus(s)
+	got, err := DecodeStatus(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got.Queues[0].Lags, s.Queues[0].Lags) {
+		t.Errorf("lags: %+v", got.Queues[0].Lags)
+	}
+	d := got.Demand
+	if d == nil || d.Refused != 1 || d.Admitted != 1 || d.AcceptRate != demand.AcceptRate || len(d.Flows) != 1 {
+		t.Fatalf("demand: %+v", d)
+	}
+	if f := d.Flows[0]; f.Flow != flow || f.Accepted != 1 || f.Admitted != 1 || f.Waiting() != demand.Flows[0].Waiting() {
+		t.Errorf("flow: %+v", f)
+	}
+	sketch, err := admission.EncodeSketch(demand.Flows[0].Asked)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := bytes.Index(raw, sketch)
+	if at < 0 {
+		t.Fatal("the sketch is not in the message as it is")
+	}
+	raw[at] = 99 // a version that does not exist
+	if got, err = DecodeStatus(raw); err != nil || got.Demand != nil || len(got.Queues) != 1 {
+		t.Errorf("damaged: %+v, %v", got, err)
+	}
+}
--- a/internal/scenario/loopback_test.go
+++ b/internal/scenario/loopback_test.go
@@ -107,12 +107,28 @@
 	mu   sync.Mutex
 	log  bytes.Buffer
 	most map[string]int // the highest counts seen
+
+	take func(line string) bool // lines that it takes are not kept
+	part []byte                 // of a line
 }
 
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.log.Write(b)
+	if p.take == nil {
+		return p.log.Write(b)
+	}
+	p.part = append(p.part, b...)
+	for {
+		line, rest, whole := bytes.Cut(p.part, []byte("\n"))
+		if !whole {
+			return len(b), nil
+		}
+		if !p.take(string(line)) {
+			p.log.Write(append(line, '\n'))
+		}
+		p.part = append([]byte(nil), rest...)
+	}
 }
 
 func (p *process) said(text string) bool {
@@ -143,64 +159,91 @@
 	}
 }
 
-// TestLoopbackFleet runs the real program with many stand-in workers: all report, get
-// tasks, come back at once, and are asked at once when the controller starts anew. It
-// asserts counts: sockets, threads and memory stay within the settings. By default
-// the fleet is small; PIPITLATCH_FLEET=2000 makes it as large as fleets get.
-func TestLoopbackFleet(t *testing.T) {
-	size, err := strconv.Atoi(os.Getenv("PIPITLATCH_FLEET"))
-	if err != nil {
-		size = 150
-	}
-	connections, memory := max(300, size*9/5), 441
-	program := filepath.Join(t.TempDir(), "pipitlatch")
-	if out, err := exec.Command("go", "build", "-o", program, "pipitlatch/cmd/pipitlatch").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+// loopbackFleet is one real controller on loopback with many stand-in workers and users.
+type loopbackFleet struct {
+	*live
+	t                  *testing.T
+	size               int
+	connections        int
+	memory             int // megabytes
+	program            string
+	settings           string // files
+	operator           string
+	process            *process
+	jobs               []*userJob
+	ctx                context.Context
+	servers            []*httptest.Server
+	stateURL, cloudURL string
+}
+
+// fleetSize is how many stand-in workers there are: PIPITLATCH_FLEET, or a few.
+func fleetSize() int {
+	if size, err := strconv.Atoi(os.Getenv("PIPITLATCH_FLEET")); err == nil {
+		return size
 	}
+	return 150
+}
+
+// newLoopbackFleet starts the stand-ins; no controller runs yet.
+func newLoopbackFleet(t *testing.T) *loopbackFleet {
+	t.Helper()
 	w, err := newWorld(parseLine(1, "cluster nodes=1 lease=26.5 cancel=51.5 report=5 rps=400 write_rps=100"), 1, func(string, ...any) {})
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &live{w: w, begin: time.Now()}
-	state := httptest.NewServer(l.serve(func(r protocol.HTTPRequest, reply func(int, []byte)) { w.state.handle("node-0", r, reply) }))
-	cloud := httptest.NewServer(l.serve(w.cloud.handle))
-	var servers []*httptest.Server
+	f := &loopbackFleet{live: &live{w: w, begin: time.Now()}, t: t, size: fleetSize(), memory: 441, program: build(t, repositoryRoot)}
+	f.connections = max(300, f.size*9/5)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.ctx = ctx
+	f.stateURL = f.listen(func(r protocol.HTTPRequest, reply func(int, []byte)) { w.state.handle("node-0", r, reply) })
+	f.cloudURL = f.listen(w.cloud.handle)
 	t.Cleanup(func() {
-		for _, s := range append(servers, state, cloud) {
+		cancel()
+		for _, s := range f.servers {
 			s.CloseClientConnections()
 		}
 	})
 	w.listen = func(m *machine) string {
-		s := httptest.NewServer(l.serve(func(r protocol.HTTPRequest, reply func(int, []byte)) {
+		return f.listen(func(r protocol.HTTPRequest, reply func(int, []byte)) {
 			if r.Path == "/show" {
 				m.show(reply)
 			} else {
 				m.commands(r.Body, reply)
 			}
-		}))
-		servers = append(servers, s)
-		return s.Listener.Addr().String()
+		})
 	}
-	w.post = l.post
-	kind := &machineType{name: "small", cores: 16, ram: 64, price: 0.6, spot: 0.2, cache: 80, fetch: 5, boot: 20 * micros.Second, zones: []string{"a"},
-		room: map[string]int{}}
-	l.with(func(w *World) {
+	w.post = f.post
+	f.control = freeAddress(t)
+	f.writeSettings()
+	f.addMachines()
+	go func() { // the world's clock
+		for ctx.Err() == nil {
+			time.Sleep(2 * time.Millisecond)
+			f.with(func(*World) {})
+		}
+	}()
+	return f
+}
+
+func (f *loopbackFleet) listen(handle func(r protocol.HTTPRequest, reply func(int, []byte))) string {
+	s := httptest.NewServer(f.serve(handle))
+	f.servers = append(f.servers, s)
+	return s.Listener.Addr().String()
+}
+
+func (f *loopbackFleet) addMachines() {
+	kind := &machineType{name: "small", cores: 16, ram: 64, price: 0.6, spot: 0.2, cache: 80, fetch: 5, boot: 20 * micros.Second,
+		zones: []string{"a"}, room: map[string]int{}}
+	f.with(func(w *World) {
 		w.cloud.types = append(w.cloud.types, kind)
-		for range size {
+		for range f.size {
 			w.cloud.add(kind, "a", false, true)
 		}
 	})
-	// On an address of its own: no outgoing connection takes the port meanwhile.
-	free := func() string {
-		ln, err := net.Listen("tcp", "127.0.0.77:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer ln.Close()
-		return ln.Addr().String()
-	}
-	l.control = free()
-	settings := filepath.Join(t.TempDir(), "settings.toml")
+}
+
+func (f *loopbackFleet) writeSettings() {
+	f.t.Helper()
 	text := fmt.Sprintf(`member = "node-0"
 listen = %q
 internal_addr = %q
@@ -227,62 +270,51 @@
 cpu = 0.864
 memory_mb = %d.0
 max_connections = %d
-`, l.control, free(), strings.TrimPrefix(cloud.URL, "http://"), strings.TrimPrefix(state.URL, "http://"), memory, connections)
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	operator := filepath.Join(t.TempDir(), "operator.txt")
-	if err := os.WriteFile(operator, []byte("idle_keep_s: 100000"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	start := func() *process {
-		p := &process{cmd: exec.Command(program, "--operator", operator, "--config", settings), most: map[string]int{}}
-		p.cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
-		p.cmd.Stderr = p
-		if err := p.cmd.Start(); err != nil {
-			t.Fatal(err)
+`, f.control, freeAddress(f.t), f.cloudURL, f.stateURL, f.memory, f.connections)
+	dir := f.t.TempDir()
+	f.settings, f.operator = filepath.Join(dir, "settings.toml"), filepath.Join(dir, "operator.txt")
+	for file, content := range map[string]string{f.settings: text, f.operator: "idle_keep_s: 100000"} {
+		if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+			f.t.Fatal(err)
 		}
-		return p
 	}
-	stop := func(p *process) {
-		_ = p.cmd.Process.Kill() // it is ours, and may have ended
-		_ = p.cmd.Wait()         // killed: no status is expected
+}
+
+func (f *loopbackFleet) start() {
+	f.t.Helper()
+	p := &process{cmd: exec.Command(f.program, "--operator", f.operator, "--config", f.settings), most: map[string]int{}}
+	p.cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
+	p.cmd.Stderr = p
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() { // the world's clock
-		for ctx.Err() == nil {
-			time.Sleep(2 * time.Millisecond)
-			l.with(func(*World) {})
-		}
-	}()
-	p := start()
-	defer func() { stop(p) }()
-	until := func(what string, done func(*World) bool) {
-		t.Helper()
-		ok := false
-		for end := time.Now().Add(3 * time.Minute); !ok && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-			p.sample()
-			l.with(func(w *World) { ok = done(w) })
-		}
-		if !ok {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			t.Fatalf("not in three minutes: %s\n%s", what, p.log.Bytes()[max(0, p.log.Len()-2000):])
-		}
+	f.process = p
+}
+
+func (f *loopbackFleet) stop() {
+	_ = f.process.cmd.Process.Kill() // it is ours, and may have ended
+	_ = f.process.cmd.Wait()         // killed: no status is expected
+}
+
+func (f *loopbackFleet) until(what string, done func(*World) bool) {
+	f.t.Helper()
+	ok := false
+	for end := time.Now().Add(3 * time.Minute); !ok && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		f.process.sample()
+		f.with(func(w *World) { ok = done(w) })
 	}
-	obey := func(w *World) (n int) {
-		for _, m := range w.cloud.machines {
-			if m.warrant > 0 {
-				n++
-			}
-		}
-		return n
+	if !ok {
+		f.process.mu.Lock()
+		defer f.process.mu.Unlock()
+		f.t.Fatalf("not in three minutes: %s\n%s", what, f.process.log.Bytes()[max(0, f.process.log.Len()-2000):])
 	}
-	// Users, each on a connection of its own, submit and then ask now and then.
-	var jobs []*userJob
-	l.with(func(w *World) {
-		for i := range size / 5 {
+}
+
+// submitAll has users, each on a connection of its own, submit and then ask now and then,
+// until the test is over.
+func (f *loopbackFleet) submitAll(users *sync.WaitGroup) {
+	f.with(func(w *World) {
+		for i := range f.size / 5 {
 			set := map[string]string{"tasks": "10", "cores": "2", "runs": "6", "image": "i"}
 			if i%2 == 0 { // one replica a machine: none is given back
 				set = map[string]string{"shape": "service", "rank": "production", "cores": "10", "tasks": "10", "image": "i"}
@@ -290,70 +322,95 @@
 			j := w.users.parse(fmt.Sprintf("wk-%06d", i), set)
 			j.sent = true
 			w.users.jobs[j.ref] = j
-			jobs = append(jobs, j)
+			f.jobs = append(f.jobs, j)
 		}
 	})
-	var users sync.WaitGroup
-	for _, j := range jobs {
+	for _, j := range f.jobs {
 		users.Go(func() {
 			c := newHTTPClient()
-			for ctx.Err() == nil {
-				resp, err := c.Post("http://"+l.control+"/submissions", "application/json", bytes.NewReader(j.body))
+			for f.ctx.Err() == nil {
+				resp, err := c.Post("http://"+f.control+"/submissions", "application/json", bytes.NewReader(j.body))
 				if err == nil {
 					resp.Body.Close()
 				}
 				select {
-				case <-ctx.Done():
+				case <-f.ctx.Done():
 				case <-time.After(2 * time.Second):
 				}
 			}
 		})
 	}
-	until("all machines obey", func(w *World) bool { return obey(w) >= size })
-	running := func(w *World) bool {
-		for _, j := range jobs {
-			if j.shape == "service" && j.starts < 10 || j.shape == "array" && len(j.done) < 10 {
-				return false
-			}
+}
+
+// obeying is how many machines have a token.
+func (f *loopbackFleet) obeying(w *World) (n int) {
+	for _, m := range w.cloud.machines {
+		if m.warrant > 0 {
+			n++
 		}
-		return true
 	}
-	until("all services run and all arrays are done", running)
-	t.Logf("%d machines: %v of %d sockets, %d MB", size, p.most, connections, memory)
+	return n
+}
+
+// served tells whether all services run and all arrays are done.
+func (f *loopbackFleet) served(*World) bool {
+	for _, j := range f.jobs {
+		if j.shape == "service" && j.starts < 10 || j.shape == "array" && len(j.done) < 10 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestLoopbackFleet runs the real program with many stand-in workers: all report, get
+// tasks, come back at once, and are asked at once when the controller starts anew. It
+// asserts counts: sockets, threads and memory stay within the settings. By default
+// the fleet is small; PIPITLATCH_FLEET=4000 makes it as large as fleets get.
+func TestLoopbackFleet(t *testing.T) {
+	f := newLoopbackFleet(t)
+	f.start()
+	defer func() { f.stop() }()
+	var users sync.WaitGroup
+	f.submitAll(&users)
+	f.until("all machines obey", func(w *World) bool { return f.obeying(w) >= f.size })
+	f.until("all services run and all arrays are done", f.served)
+	t.Logf("%d machines: %v of %d sockets, %d MB", f.size, f.process.most, f.connections, f.memory)
 	// Every worker comes anew at once.
 	before := 0
-	l.with(func(w *World) {
-		for _, c := range l.clients {
+	f.with(func(w *World) {
+		for _, c := range f.clients {
 			c.CloseIdleConnections()
 		}
-		before = l.oks
+		before = f.oks
 		for _, m := range w.cloud.machines {
 			m.scheduleReport(0)
 		}
 	})
-	until("all are answered", func(*World) bool { return l.oks >= before+size })
-	first := p
-	stop(p)
-	p = start()
-	until("all machines are known again", func(*World) bool { return p.said("all machines known") })
-	until("the controller answers on", func(*World) bool { return l.oks >= before+3*size })
-	t.Logf("and anew: %v", p.most)
-	cancel()
-	users.Wait()
-	for _, p := range []*process{first, p} {
-		if p.most["sockets"] == 0 || p.most["sockets"] > connections {
-			t.Errorf("%d sockets, may have %d", p.most["sockets"], connections)
-		}
-		if p.most["threads"] > 100 {
-			t.Errorf("%d threads", p.most["threads"])
-		}
-		if p.most["vmhwm"] > memory*1000 {
-			t.Errorf("%d kB, may have %d MB", p.most["vmhwm"], memory)
-		}
-	}
-	l.with(func(w *World) {
+	f.until("all are answered", func(*World) bool { return f.oks >= before+f.size })
+	first := f.process
+	f.stop()
+	f.start()
+	f.until("all machines are known again", func(*World) bool { return f.process.said("all machines known") })
+	f.until("the controller answers on", func(*World) bool { return f.oks >= before+3*f.size })
+	t.Logf("and anew: %v", f.process.most)
+	f.checkCounts(first)
+	f.checkCounts(f.process)
+	f.with(func(w *World) {
 		for _, b := range w.broken {
 			t.Errorf("rule broken: %s", b)
 		}
 	})
 }
+
+// checkCounts holds a process's sockets, threads and memory against its settings.
+func (f *loopbackFleet) checkCounts(p *process) {
+	if p.most["sockets"] == 0 || p.most["sockets"] > f.connections {
+		f.t.Errorf("%d sockets, may have %d", p.most["sockets"], f.connections)
+	}
+	if p.most["threads"] > 100 {
+		f.t.Errorf("%d threads", p.most["threads"])
+	}
+	if p.most["vmhwm"] > f.memory*1000 {
+		f.t.Errorf("%d kB, may have %d MB", p.most["vmhwm"], f.memory)
+	}
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script_test.go
@@ -199,41 +199,19 @@
 func newWorld(l *line, seed uint64, logf func(string, ...any)) (*World, error) {
 	w := &World{rng: rand.New(rand.NewPCG(seed, 7)), logf: logf}
 	nodes := int(l.num("nodes", 3))
-	var toml strings.Builder
-	zones := []string{"a", "b"}
-	nodeZones := []string{"a"}
+	zones, nodeZones := []string{"a", "b"}, []string{"a"}
 	if l.set["zones"] != "" {
 		zones = strings.Split(l.set["zones"], ",")
 		nodeZones, w.zoned = zones, true
 	}
 	w.distance = micros.FromSeconds(l.num("distance_ms", 0) / 1000)
-	fmt.Fprintf(&toml, "listen = \"10.0.0.1:8080\"\ninternal_addr = \"10.0.0.1:8081\"\n[services]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n")
-	fmt.Fprintf(&toml, "[settings]\nnodes = %d\nzones = [\"%s\"]\nskew_ms = 5.0\n", nodes, strings.Join(zones, "\", \""))
-	teams := l.set["teams"]
-	if teams == "" {
-		teams = "alpha"
-	}
-	for _, t := range strings.Split(teams, ",") {
-		p := append(strings.Split(t, ":"), "0", "0")
-		fmt.Fprintf(&toml, "[[settings.teams]]\nname = %q\ncpus = %s.0\ncpus_max = %s.0\n", p[0], p[1], p[2])
-	}
-	for _, kind := range []string{"wait", "finished"} { // objectives: class:seconds
-		if class, within, ok := strings.Cut(l.set[kind], ":"); ok {
-			fmt.Fprintf(&toml, "[[settings.objectives]]\nkind = %q\nclass = %q\nwithin_s = %s.0\nshare = 0.99\n", kind, class, within)
-		}
-	}
-	if v := l.num("guarantee", 0); v > 0 {
-		fmt.Fprintf(&toml, "[[settings.objectives]]\nkind = \"guarantee\"\nwithin_s = %v\nshare = 0.99\n", v)
-	}
-	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
-	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
-	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = %v\nmax_connections = %d\n", l.num("cloud_rps", 6), l.num("memory", 125), int(l.num("connections", 1000)))
+	settings := platformSettings(l, nodes, zones)
 	for i := range nodes {
 		operator := fmt.Sprintf("queues: %d ", int(l.num("queues", 1))) + fairSettings(l, i)
 		var own strings.Builder
 		zone := func(k int) string { return nodeZones[k%len(nodeZones)] }
 		fmt.Fprintf(&own, "member = \"node-%d\"\nzone = %q\n", i, zone(i))
-		body := toml.String()
+		body := settings
 		var sib strings.Builder
 		for k := range nodes {
 			if k != i {
@@ -263,6 +241,33 @@
 	return w, nil
 }
 
+// platformSettings is the part of the platform's settings file that all nodes share.
+func platformSettings(l *line, nodes int, zones []string) string {
+	var toml strings.Builder
+	fmt.Fprintf(&toml, "listen = \"10.0.0.1:8080\"\ninternal_addr = \"10.0.0.1:8081\"\n[services]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n")
+	fmt.Fprintf(&toml, "[settings]\nnodes = %d\nzones = [\"%s\"]\nskew_ms = 5.0\n", nodes, strings.Join(zones, "\", \""))
+	teams := l.set["teams"]
+	if teams == "" {
+		teams = "alpha"
+	}
+	for _, t := range strings.Split(teams, ",") {
+		p := append(strings.Split(t, ":"), "0", "0")
+		fmt.Fprintf(&toml, "[[settings.teams]]\nname = %q\ncpus = %s.0\ncpus_max = %s.0\n", p[0], p[1], p[2])
+	}
+	for _, kind := range []string{"wait", "finished"} { // objectives: class:seconds
+		if class, within, ok := strings.Cut(l.set[kind], ":"); ok {
+			fmt.Fprintf(&toml, "[[settings.objectives]]\nkind = %q\nclass = %q\nwithin_s = %s.0\nshare = 0.99\n", kind, class, within)
+		}
+	}
+	if v := l.num("guarantee", 0); v > 0 {
+		fmt.Fprintf(&toml, "[[settings.objectives]]\nkind = \"guarantee\"\nwithin_s = %v\nshare = 0.99\n", v)
+	}
+	fmt.Fprintf(&toml, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = %v\n", l.num("report", 1.5), l.num("lease", 10), l.num("cancel", 35))
+	fmt.Fprintf(&toml, "[settings.state]\nrps = %v\nwrite_rps = %v\nvalue_kb = 8.0\ntxn_ops = 12\n", l.num("rps", 100), l.num("write_rps", 25))
+	fmt.Fprintf(&toml, "[settings.cloud]\nrps = %v\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu = 0.24\nmemory_mb = %v\nmax_connections = %d\n", l.num("cloud_rps", 6), l.num("memory", 125), int(l.num("connections", 1000)))
+	return toml.String()
+}
+
 // nextLimits are smaller limits of the state service that are to come.
 const nextLimits = "[settings.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4\n"
 
--- a/internal/scenario/state.go
+++ b/internal/scenario/state_test.go
@@ -203,44 +203,9 @@
 			reply(404, encode(map[string]any{"ledger": s.ledger}))
 		}
 	case r.Method == "GET" && u.Path == "/changes":
-		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-		block, _ := strconv.ParseInt(q.Get("block_ms"), 10, 64)
-		if len(s.log) > s.keep {
-			s.log = append([]stateEvent(nil), s.log[len(s.log)-s.keep:]...)
-		}
-		if len(s.log) == s.keep && s.log[0].stamp > after+1 {
-			reply(410, nil)
-			return
-		}
-		x := &watcher{from: from, under: q.Get("under"), after: after, reply: reply}
-		if s.answer(x, block == 0) {
-			return
-		}
-		s.watchers = append(s.watchers, x)
-		var timeUp func()
-		timeUp = func() {
-			if x.done {
-				return
-			}
-			if s.refused(from) {
-				s.w.after(100*micros.Millisecond, timeUp) // stays open
-				return
-			}
-			s.answer(x, true)
-		}
-		s.w.after(block*micros.Millisecond, timeUp)
+		s.watch(from, q, reply)
 	case r.Method == "POST" && u.Path == "/grants":
-		var g struct {
-			TTL int64 `json:"ttl_ms"`
-		}
-		if json.Unmarshal(r.Body, &g) != nil || g.TTL < 100 || g.TTL > 600_000 {
-			reply(400, nil)
-			return
-		}
-		s.next++
-		s.ttl[s.next] = g.TTL * micros.Millisecond
-		s.permits[s.next] = s.w.now + s.ttl[s.next]
-		reply(200, encode(map[string]any{"permit": s.next}))
+		s.grant(r.Body, reply)
 	case r.Method == "POST" && strings.HasSuffix(u.Path, "/touch"):
 		id, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimPrefix(u.Path, "/grants/"), "/touch"), 10, 64)
 		if _, ok := s.permits[id]; !ok {
@@ -250,25 +215,72 @@
 		s.permits[id] = s.w.now + s.ttl[id]
 		reply(200, encode(map[string]any{"permit": id}))
 	case r.Method == "POST" && u.Path == "/commit":
-		if by := s.delayOf(r.Body); by > 0 {
-			s.w.after(by, func() { s.commit(r.Body) })
+		s.transact(r.Body, reply)
+	default:
+		reply(404, nil)
+	}
+}
+
+func (s *stateService) watch(from string, q url.Values, reply func(int, []byte)) {
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	block, _ := strconv.ParseInt(q.Get("block_ms"), 10, 64)
+	if len(s.log) > s.keep {
+		s.log = append([]stateEvent(nil), s.log[len(s.log)-s.keep:]...)
+	}
+	if len(s.log) == s.keep && s.log[0].stamp > after+1 {
+		reply(410, nil)
+		return
+	}
+	x := &watcher{from: from, under: q.Get("under"), after: after, reply: reply}
+	if s.answer(x, block == 0) {
+		return
+	}
+	s.watchers = append(s.watchers, x)
+	var timeUp func()
+	timeUp = func() {
+		if x.done {
 			return
 		}
-		switch x := s.w.rng.Float64(); {
-		case x < s.loseShare:
-			s.commit(r.Body)
-		case x < s.loseShare+s.lateShare:
-			body := r.Body
-			s.w.after(micros.Second+s.w.rng.Int64N(20*micros.Second), func() {
-				if !s.down {
-					s.commit(body)
-				}
-			})
-		default:
-			reply(s.commit(r.Body))
+		if s.refused(from) {
+			s.w.after(100*micros.Millisecond, timeUp) // stays open
+			return
 		}
+		s.answer(x, true)
+	}
+	s.w.after(block*micros.Millisecond, timeUp)
+}
+
+func (s *stateService) grant(body []byte, reply func(int, []byte)) {
+	var g struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if json.Unmarshal(body, &g) != nil || g.TTL < 100 || g.TTL > 600_000 {
+		reply(400, nil)
+		return
+	}
+	s.next++
+	s.ttl[s.next] = g.TTL * micros.Millisecond
+	s.permits[s.next] = s.w.now + s.ttl[s.next]
+	reply(200, encode(map[string]any{"permit": s.next}))
+}
+
+// transact commits: at once, or late, or without an answer.
+func (s *stateService) transact(body []byte, reply func(int, []byte)) {
+	if by := s.delayOf(body); by > 0 {
+		s.w.after(by, func() { s.commit(body) })
+		return
+	}
+	switch x := s.w.rng.Float64(); {
+	case x < s.loseShare:
+		s.commit(body)
+	case x < s.loseShare+s.lateShare:
+		s.w.after(micros.Second+s.w.rng.Int64N(20*micros.Second), func() {
+			if !s.down {
+				s.commit(body)
+			}
+		})
 	default:
-		reply(404, nil)
+		reply(s.commit(body))
 	}
 }
 
--- a/internal/scenario/world.go
+++ b/internal/scenario/world_test.go
@@ -1,8 +1,3 @@
-// Package scenario plays scenarios, written as small text files, against the
-// core in simulated time: with stand-ins of the state service, the cloud, the
-// workers and the users, written from the protocol, and with faults. Every rule
-// of the protocol is checked after every step. Messages cross the wire format,
-// so that encoding and decoding are played too.
 package scenario
 
 import (
@@ -219,28 +214,8 @@
 	w := n.w
 	steady := micros.Time(float64(w.now)*n.drift) + 1
 	out := n.core.Step(steady, 1_800_000_000*micros.Second+w.now+n.skew, in...)
-	life := n.life
 	for _, l := range out.Log {
-		if l.Text == "task on two machines" {
-			w.breakRule("conflict", "%s: %v", n.name, l.Args)
-		}
-		if l.Text == "queue taken" {
-			w.taken++
-			kept := w.kept
-			w.kept = nil
-			for _, raw := range kept {
-				for _, o := range w.nodes {
-					w.after(w.rng.Int64N(300*micros.Millisecond), func() { o.copyOf(raw) })
-				}
-			}
-		}
-		if l.Text == "all machines known" && len(l.Args) == 4 {
-			if ms, ok := l.Args[3].(micros.Time); ok {
-				w.unknown = max(w.unknown, ms*micros.Millisecond)
-			}
-		}
-		w.hearLog(l)
-		w.logf("%10.3f %s %s %v", micros.Seconds(w.now), n.name, l.Text, l.Args)
+		n.hear(l)
 	}
 	for _, a := range out.Answers {
 		if then := n.waiting[a.Request]; then != nil {
@@ -249,74 +224,113 @@
 		}
 	}
 	for i := range out.State {
-		c := out.State[i]
-		req := protocol.EncodeState(c.Request)
-		n.call("state", c.Timeout, func(reply func(int, []byte)) {
-			w.state.handle(n.name, req, reply)
-		}, func(status int, body []byte) {
-			r, _ := protocol.DecodeState(c.Request.Kind, status, body)
-			n.step(&coordination.StateDone{Call: c.Call, Reply: r})
-		})
+		n.callState(out.State[i])
 	}
 	for i := range out.Cloud {
-		c := out.Cloud[i]
-		req := protocol.EncodeCloud(&c)
-		n.call("cloud", c.Timeout, func(reply func(int, []byte)) {
-			w.cloud.handle(req, reply)
-		}, func(status int, body []byte) {
-			r, _ := protocol.DecodeCloud(c.Kind, status, body)
-			n.step(&coordination.CloudDone{Call: c.Call, Reply: r})
-		})
+		n.callCloud(out.Cloud[i])
 	}
 	for i := range out.Workers {
-		c := out.Workers[i]
-		body := protocol.EncodeCommands(&c)
-		m := w.cloud.byAddress[c.Address]
-		target := "nowhere"
-		if m != nil {
-			target = m.name
+		n.callWorker(out.Workers[i])
+	}
+	for _, p := range out.Peers {
+		n.tell(p)
+	}
+	n.wakeSeq++
+	seq, life := n.wakeSeq, n.life
+	w.after(max(micros.Millisecond, out.Wake-steady), func() {
+		if n.life == life && n.wakeSeq == seq {
+			n.step()
 		}
-		if w.cutBetween(n.name, target) != nil {
-			for _, cmd := range c.Commands {
-				if cmd.Op == coordination.Start {
-					w.vain++
-				}
+	})
+}
+
+// hear takes what a controller logs: some of it is held against the rules, or counted.
+func (n *node) hear(l coordination.LogLine) {
+	w := n.w
+	switch {
+	case l.Text == "task on two machines":
+		w.breakRule("conflict", "%s: %v", n.name, l.Args)
+	case l.Text == "queue taken":
+		w.taken++
+		kept := w.kept
+		w.kept = nil
+		for _, raw := range kept {
+			for _, o := range w.nodes {
+				w.after(w.rng.Int64N(300*micros.Millisecond), func() { o.copyOf(raw) })
 			}
 		}
-		if n.calling++; n.calling > n.conf.Sockets().Calls {
-			w.breakRule("sockets", "%s: %d calls to workers at once", n.name, n.calling)
+	case l.Text == "all machines known" && len(l.Args) == 4:
+		if ms, ok := l.Args[3].(micros.Time); ok {
+			w.unknown = max(w.unknown, ms*micros.Millisecond)
 		}
-		n.call(target, c.Timeout, func(reply func(int, []byte)) {
-			if m == nil || m.gone || !m.booted {
-				return
-			}
-			if c.Show {
-				m.show(reply)
-			} else {
-				m.commands(body, reply)
-			}
-		}, func(status int, body []byte) {
-			n.calling--
-			n.step(&coordination.WorkerDone{Call: c.Call, Reply: protocol.DecodeWorker(status, body)})
-		})
 	}
-	for _, p := range out.Peers {
-		raw := protocol.EncodeStatus(p.Status)
-		for _, o := range w.nodes {
-			if o.name == p.To {
-				w.send(n.name, o.name, func() {
-					if s, err := protocol.DecodeStatus(raw); err == nil {
-						o.step(s)
-					}
-				})
+	w.hearLog(l)
+	w.logf("%10.3f %s %s %v", micros.Seconds(w.now), n.name, l.Text, l.Args)
+}
+
+func (n *node) callState(c coordination.StateCall) {
+	req := protocol.EncodeState(c.Request)
+	n.call("state", c.Timeout, func(reply func(int, []byte)) {
+		n.w.state.handle(n.name, req, reply)
+	}, func(status int, body []byte) {
+		r, _ := protocol.DecodeState(c.Request.Kind, status, body)
+		n.step(&coordination.StateDone{Call: c.Call, Reply: r})
+	})
+}
+
+func (n *node) callCloud(c coordination.CloudCall) {
+	req := protocol.EncodeCloud(&c)
+	n.call("cloud", c.Timeout, func(reply func(int, []byte)) {
+		n.w.cloud.handle(req, reply)
+	}, func(status int, body []byte) {
+		r, _ := protocol.DecodeCloud(c.Kind, status, body)
+		n.step(&coordination.CloudDone{Call: c.Call, Reply: r})
+	})
+}
+
+func (n *node) callWorker(c coordination.WorkerCall) {
+	w := n.w
+	body := protocol.EncodeCommands(&c)
+	m := w.cloud.byAddress[c.Address]
+	target := "nowhere"
+	if m != nil {
+		target = m.name
+	}
+	if w.cutBetween(n.name, target) != nil {
+		for _, cmd := range c.Commands {
+			if cmd.Op == coordination.Start {
+				w.vain++
 			}
 		}
 	}
-	n.wakeSeq++
-	seq := n.wakeSeq
-	w.after(max(micros.Millisecond, out.Wake-steady), func() {
-		if n.life == life && n.wakeSeq == seq {
-			n.step()
+	if n.calling++; n.calling > n.conf.Sockets().Calls {
+		w.breakRule("sockets", "%s: %d calls to workers at once", n.name, n.calling)
+	}
+	n.call(target, c.Timeout, func(reply func(int, []byte)) {
+		if m == nil || m.gone || !m.booted {
+			return
+		}
+		if c.Show {
+			m.show(reply)
+		} else {
+			m.commands(body, reply)
+		}
+	}, func(status int, body []byte) {
+		n.calling--
+		n.step(&coordination.WorkerDone{Call: c.Call, Reply: protocol.DecodeWorker(status, body)})
+	})
+}
+
+// tell sends a message to a sibling, over the wire's form.
+func (n *node) tell(p coordination.PeerSend) {
+	raw := protocol.EncodeStatus(p.Status)
+	o := n.w.node(p.To)
+	if o == nil {
+		return
+	}
+	n.w.send(n.name, o.name, func() {
+		if s, err := protocol.DecodeStatus(raw); err == nil {
+			o.step(s)
 		}
 	})
 }
