Fair admission: demand of who was told to come back, windows by team, what a flow gets whole

Cause: demand counted users who had given up, so windows were half as wide as they could be; a first burst was over-admitted, since a job's second change comes later; made-up classes took the windows of a quiet team; a flow that gets all it asks for lost its place to others' overflow.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -395,3 +395,31 @@
 		t.Error("an epoch is in force long after the overload")
 	}
 }
+
+// TestGroupBounds: every flow falls under a window of the record, each team's largest flow has
+// one of its own as long as there is room, and the record stays within its bound.
+func TestGroupBounds(t *testing.T) {
+	var claims []Claim
+	var gives []int64
+	for i := range 400 {
+		claims = append(claims, Claim{Flow{"alpha", fmt.Sprint("made-up-", i)}, 1, 1, int64(100 + i)})
+		gives = append(gives, 1)
+	}
+	claims, gives = append(claims, Claim{Flow{"beta", "quiet"}, 1, 1, 5}), append(gives, 5)
+	for _, most := range []int{1, 2, 3, 30, 134, 1000} {
+		out := group(claims, gives, most)
+		demand, own := int64(0), 0
+		for f, g := range out {
+			demand += g.demand
+			if f != Rest {
+				own++
+			}
+		}
+		if demand != 400*100+400*399/2+5 || own > most {
+			t.Errorf("%d windows: %d used, demand %d", most, own, demand)
+		}
+		if quiet := out[Flow{"beta", "quiet"}]; most >= 4 && quiet.width() != Points {
+			t.Errorf("%d windows: the quiet team's flow is under another's: %+v", most, quiet)
+		}
+	}
+}
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -15,10 +15,11 @@
 	// sketchPrecision gives 1,024 registers: an error of 3 % in a kilobyte.
 	sketchPrecision = 10
 	// generation is the time after which a part of what was seen is forgotten.
-	generation = 10 * micros.Second
-	// generations are kept: users honour a Retry-After of up to 30 s, so within this time
-	// whoever still wants to be taken was seen.
-	generations = 4
+	generation = 5 * micros.Second
+	// generations are kept of what was asked and accepted.
+	generations = 3
+	// lateness is how much later than he was told somebody may come back.
+	lateness = 3 * micros.Second
 	// recently is how far back what is counted by the second goes: refusals for lack of room,
 	// as a sign of overload, and what epochs admitted.
 	recently = 5 * micros.Second
@@ -27,7 +28,7 @@
 // FlowDemand is what was asked for of one flow of late.
 type FlowDemand struct {
 	Flow     Flow
-	Asked    *hyperloglog.Sketch // distinct references
+	Asked    *hyperloglog.Sketch // distinct references that asked of late, or were told to come back
 	Accepted int64               // of them, taken
 	Admitted int64               // verdicts in its favour within recently
 }
@@ -59,9 +60,12 @@
 
 // Tracker counts what is asked of one controller.
 type Tracker struct {
-	table   *Table
-	past    [generations]map[Flow]*flowCount // the newest first
-	turned  micros.Time
+	table  *Table
+	past   [generations]map[Flow]*flowCount // the newest first
+	turned micros.Time
+	// back are the references that were refused, by the time at which they were told to come
+	// back: until then they are waiting, whether they ask or not.
+	back    map[micros.Time]map[Flow]*hyperloglog.Sketch
 	refused recent
 	accept  recent
 	admit   map[Flow]*recent
@@ -69,7 +73,8 @@
 
 // NewTracker counts the flows of a number of teams.
 func NewTracker(teams int) *Tracker {
-	t := &Tracker{table: NewTable(teams), admit: map[Flow]*recent{}}
+	t := &Tracker{table: NewTable(teams), admit: map[Flow]*recent{},
+		back: map[micros.Time]map[Flow]*hyperloglog.Sketch{}}
 	for i := range t.past {
 		t.past[i] = map[Flow]*flowCount{}
 	}
@@ -89,10 +94,18 @@
 	if now-t.turned >= generation {
 		t.turned = now
 	}
+	for at := range t.back {
+		if at+generation < now-lateness {
+			delete(t.back, at)
+		}
+	}
 	var used []Flow
 	for _, g := range t.past {
 		used = slices.AppendSeq(used, maps.Keys(g))
 	}
+	for _, flows := range t.back {
+		used = slices.AppendSeq(used, maps.Keys(flows))
+	}
 	slices.SortFunc(used, Flow.Compare)
 	t.table.Keep(used)
 	for f, r := range t.admit {
@@ -118,6 +131,20 @@
 	t.count(now, f).asked.InsertHash(xxhash.Sum64String(ref))
 }
 
+// ComeBack notes that a job was refused, and told to come back after a time.
+func (t *Tracker) ComeBack(now micros.Time, f Flow, ref string, after micros.Time) {
+	t.turn(now)
+	f = t.table.Resolve(f)
+	at := (now + min(after, MaxTurn)) / generation * generation
+	if t.back[at] == nil {
+		t.back[at] = map[Flow]*hyperloglog.Sketch{}
+	}
+	if t.back[at][f] == nil {
+		t.back[at][f] = newSketch()
+	}
+	t.back[at][f].InsertHash(xxhash.Sum64String(ref))
+}
+
 // Accepted notes that a job was taken.
 func (t *Tracker) Accepted(now micros.Time, f Flow) {
 	t.count(now, f).accepted++
@@ -149,6 +176,17 @@
 			merged[f].add(c.asked, c.accepted)
 		}
 	}
+	for at, flows := range t.back {
+		for f, sketch := range flows {
+			if at+generation < now-lateness {
+				continue
+			}
+			if merged[f] == nil {
+				merged[f] = &FlowDemand{Flow: f, Asked: newSketch()}
+			}
+			merged[f].add(sketch, 0)
+		}
+	}
 	for f, r := range t.admit {
 		n := r.total(now)
 		d.Admitted += n
--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -1,6 +1,9 @@
 package admission
 
 import (
+	"cmp"
+	"slices"
+
 	"pipitlatch/internal/micros"
 )
 
@@ -28,7 +31,7 @@
 
 // Bounds of the pace, in percent of the capacity that is reckoned with.
 const (
-	minPace  = 40
+	minPace  = 70
 	fullPace = 100
 	maxPace  = 300
 )
@@ -113,7 +116,8 @@
 	return claims, gives, over
 }
 
-// epoch makes the record. Flows beyond its bound, the smallest demands first, share the rest.
+// epoch makes the record. Flows beyond its bound share a window of their team; teams beyond it
+// share the rest.
 func (p *Planner) epoch(v *View, s Situation, claims []Claim, gives []int64) *Epoch {
 	e := &Epoch{Number: v.stored + 1, Leader: s.Leader, Written: s.Wall, Length: p.settings.Length,
 		Validity: validLengths * p.settings.Length, Windows: map[string]Window{}}
@@ -121,18 +125,16 @@
 	if before == nil {
 		before = &Epoch{Rest: Window{Width: Points}}
 	}
-	own := largest(claims, p.settings.MaxWindows)
-	var restDemand, restGive int64
-	for i, c := range claims {
-		if !own[i] || c.Flow == Rest {
-			restDemand, restGive = restDemand+c.Demand, restGive+gives[i]
+	var shared part
+	for f, g := range group(claims, gives, p.settings.MaxWindows) {
+		if f == Rest {
+			shared = g
 			continue
 		}
-		w := before.window(c.Flow)
-		e.Windows[c.Flow.Key()] = w.next(width(gives[i], c.Demand))
+		e.Windows[f.Key()] = before.window(f).next(g.width())
 	}
-	if restDemand > 0 {
-		e.Rest = before.Rest.next(width(restGive, restDemand))
+	if shared.demand > 0 {
+		e.Rest = before.Rest.next(shared.width())
 	} else {
 		// A flow that nobody asked for yet: as wide as the narrowest that is known.
 		e.Rest = before.Rest.next(e.narrowest())
@@ -140,37 +142,59 @@
 	return e
 }
 
-// narrowest is the least width of any window.
-func (e *Epoch) narrowest() uint32 {
-	least := uint32(Points)
-	for _, w := range e.Windows {
-		least = min(least, w.Width)
+// part is what flows under one window get of what they ask for.
+type part struct{ give, demand int64 }
+
+// width is the part of the circle that lets a part of the demand in: never nothing, so that
+// every reference has its turn.
+func (p part) width() uint32 {
+	if p.give >= p.demand {
+		return Points
 	}
-	return least
+	return uint32(max(1, p.give*Points/p.demand))
 }
 
-// largest marks the claims that get a window of their own.
-func largest(claims []Claim, most int) map[int]bool {
-	own := map[int]bool{}
-	for len(own) < min(most, len(claims)) {
-		best := -1
-		for i, c := range claims {
-			if !own[i] && (best < 0 || c.Demand > claims[best].Demand) {
-				best = i
+// group divides the claims among windows: one for a flow, those of the largest demands of
+// each team first, then one for the rest of a team, then one for all others.
+func group(claims []Claim, gives []int64, most int) map[Flow]part {
+	rank, teams := make([]int, len(claims)), map[string]bool{}
+	for i, c := range claims {
+		teams[c.Flow.Team] = true
+		for k, d := range claims {
+			if d.Flow.Team == c.Flow.Team && (d.Demand > c.Demand || d.Demand == c.Demand && k < i) {
+				rank[i]++ // within its team
 			}
 		}
-		own[best] = true
 	}
-	return own
+	order := make([]int, len(claims))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(rank[a], rank[b]), cmp.Compare(claims[b].Demand, claims[a].Demand))
+	})
+	out := map[Flow]part{}
+	for n, i := range order {
+		f := claims[i].Flow
+		if n >= most-len(teams) { // the others are for the teams' rests
+			f = f.TeamRest()
+			if _, ok := out[f]; !ok && len(out) >= most {
+				f = Rest
+			}
+		}
+		g := out[f]
+		out[f] = part{g.give + gives[i], g.demand + claims[i].Demand}
+	}
+	return out
 }
 
-// width is the part of the circle that lets a part of the demand in: never nothing, so that
-// every reference has its turn.
-func width(give, demand int64) uint32 {
-	if give >= demand {
-		return Points
+// narrowest is the least width of any window.
+func (e *Epoch) narrowest() uint32 {
+	least := uint32(Points)
+	for _, w := range e.Windows {
+		least = min(least, w.Width)
 	}
-	return uint32(max(1, give*Points/demand))
+	return least
 }
 
 // Written notes that an epoch was sent to the state service.
--- a/internal/admission/view.go
+++ b/internal/admission/view.go
@@ -54,12 +54,18 @@
 	Epoch  uint64 // 0: none is in force, so there is no verdict
 	Leader uint64 // that wrote it
 	Admit  bool
+	Whole  bool        // the flow gets all that it asks for
 	Turn   micros.Time // in how long the reference is admitted, if it is not now
 }
 
 // MaxTurn is the longest time that users are told to wait: they honour no more.
 const MaxTurn = 30 * micros.Second
 
+// surely is for how many lengths ahead a turn is told as it is reckoned. One further ahead
+// comes sooner where windows grow meanwhile, and who comes after it waits for another round:
+// he is told to ask again before it.
+const surely = 2
+
 // Verdict judges a submission by the epoch in force.
 func (v *View) Verdict(now micros.Time, f Flow, ref string) Verdict {
 	e := v.Current(now)
@@ -67,8 +73,11 @@
 		return Verdict{}
 	}
 	if e.Admits(f, ref) {
-		return Verdict{Epoch: e.Number, Leader: e.Leader, Admit: true}
+		return Verdict{Epoch: e.Number, Leader: e.Leader, Admit: true, Whole: e.window(f).Width == Points}
 	}
 	turn := e.Turn(f, ref) - (now - v.from)
+	if near := e.Length * surely; turn > near {
+		turn = near + (turn-near)*6/10
+	}
 	return Verdict{Epoch: e.Number, Leader: e.Leader, Turn: min(MaxTurn, max(micros.Second, turn))}
 }
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -43,6 +43,9 @@
 	// minCapacityPart is the part of the state service's changes that new jobs get at
 	// least, whatever was used for other things of late.
 	minCapacityPart = 4
+	// changesPerJob is how many changes a job takes at least: it is accepted, and it is over.
+	// The second comes later, so that what is used now does not show it yet.
+	changesPerJob = 2
 )
 
 // admissionSettings are the operators' settings as the package wants them.
@@ -74,13 +77,14 @@
 func flowOf(j *bookkeeping.Job) admission.Flow { return admission.Flow{Team: j.Team, Class: j.Class} }
 
 // admit asks for the verdict on a job that is not known here, and goes on with take unless it
-// is refused. A known job is answered as known, first of all: one that another controller
+// is refused. What a flow gets whole may overdraw the budget: else it would lose the share
+// that it was given to flows that are given less than they ask for. A known job is answered as known, first of all: one that another controller
 // just took, or that was moved away long ago, is looked up before it is refused. Without an
 // epoch in force nothing is refused here: what can't be stored is refused where it is.
-func (c *Core) admit(req RequestID, job *bookkeeping.Job, take func()) {
+func (c *Core) admit(req RequestID, job *bookkeeping.Job, take func(storage.Urgency)) {
 	f := c.fair
 	if f == nil {
-		take()
+		take(storage.Prompt)
 		return
 	}
 	flow := flowOf(job)
@@ -89,14 +93,21 @@
 	if v.Epoch != 0 {
 		c.log(levelDebug, "verdict", "job", job.ID, "epoch", v.Epoch, "leader", v.Leader, "admit", v.Admit, "turn_ms", v.Turn/micros.Millisecond)
 	}
-	if v.Epoch == 0 || v.Admit {
-		if v.Admit {
-			f.tracker.Admitted(c.now, flow)
+	switch {
+	case v.Epoch == 0:
+		take(storage.Prompt)
+		return
+	case v.Admit:
+		f.tracker.Admitted(c.now, flow)
+		urgency := storage.Prompt
+		if v.Whole {
+			urgency = storage.Urgent
 		}
-		take()
+		take(urgency)
 		return
 	}
 	c.viewOr(req, job.ID, func() {
+		f.tracker.ComeBack(c.now, flow, job.ID, v.Turn)
 		c.answer(Answer{Request: req, Kind: Overloaded, Text: "overload: it is not its turn yet", RetryAfter: v.Turn})
 	})
 }
@@ -146,7 +157,8 @@
 		f.leader, f.planner = l.version, admission.NewPlanner(f.settings)
 	}
 	demand := c.demandOfAll()
-	e := f.planner.Next(&f.view, admission.Situation{Now: c.now, Wall: c.wall, Leader: l.version, Demand: demand, Capacity: c.admissionCapacity(demand)})
+	capacity := c.admissionCapacity(demand)
+	e := f.planner.Next(&f.view, admission.Situation{Now: c.now, Wall: c.wall, Leader: l.version, Demand: demand, Capacity: capacity})
 	if e == nil {
 		return
 	}
@@ -158,7 +170,7 @@
 		f.writing = false
 		if r.Outcome == storage.OK {
 			c.log(levelInfo, "overload: admission epoch", "epoch", e.Number, "flows", len(e.Windows), "rest_ppm", int64(e.Rest.Width)*1_000_000/admission.Points,
-				"refused", demand.Refused, "admitted", demand.Admitted)
+				"refused", demand.Refused, "admitted", demand.Admitted, "capacity_milli", capacity)
 		}
 	})
 	if f.writing {
@@ -187,7 +199,7 @@
 			used += p.status.Used.Writes
 		}
 	}
-	return max(total/minCapacityPart, total-max(0, used-demand.AcceptRate))
+	return max(total/minCapacityPart, min(total/changesPerJob, total-max(0, used-demand.AcceptRate)))
 }
 
 // demandToTell is what the siblings are told now; nil: nothing new.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -107,14 +107,14 @@
 		c.cannotRun(req, id, why)
 		return
 	}
-	c.admit(req, in.Job, func() {
+	c.admit(req, in.Job, func(urgency storage.Urgency) {
 		in.Job.Submitted = c.wall
 		c.fitRecord(in.Job)
 		if len(in.Job.WaitsOn) > 0 {
 			c.acceptWaiting(req, in.Job)
 			return
 		}
-		c.accept(req, in.Job)
+		c.accept(req, in.Job, urgency)
 	})
 }
 
@@ -136,7 +136,7 @@
 }
 
 // accept writes a job's record, by which it is accepted, under further conditions.
-func (c *Core) accept(req RequestID, job *bookkeeping.Job, conditions ...storage.Condition) {
+func (c *Core) accept(req RequestID, job *bookkeeping.Job, urgency storage.Urgency, conditions ...storage.Condition) {
 	id := job.ID
 	key, value := c.keys.Job(id), storage.Encode(job)
 	if len(value) > c.cfg.Settings.MaxValue() {
@@ -146,7 +146,7 @@
 	sent := c.callState(&storage.Request{Kind: storage.Commit,
 		Conditions: append([]storage.Condition{{Key: key}, {Key: c.keys.Archive(id)}}, conditions...),
 		Puts:       []storage.Put{{Key: key, Value: value}},
-	}, storage.Prompt, stateTimeout, func(r *storage.Reply) {
+	}, urgency, stateTimeout, func(r *storage.Reply) {
 		switch r.Outcome {
 		case storage.OK:
 			c.accepted(job)
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -132,7 +132,7 @@
 		if n.cancelled {
 			over := job.Final(bookkeeping.Cancelled)
 			over.Submitted = c.wall
-			c.accept(req, over)
+			c.accept(req, over, storage.Prompt)
 			return
 		}
 		job.WaitsOn = n.open
@@ -145,7 +145,7 @@
 func (c *Core) storeNeeds(req RequestID, job *bookkeeping.Job) {
 	most := c.cfg.Settings.MaxValue()
 	if len(storage.Encode(job)) <= most-recordSlack {
-		c.accept(req, job)
+		c.accept(req, job, storage.Prompt)
 		return
 	}
 	each := max(1, most/(maxRefBytes+3))
@@ -174,7 +174,7 @@
 // parts that no job had, it would be a job that waits for ever.
 func (c *Core) storeParts(req RequestID, job *bookkeeping.Job, parts []storage.Put, first uint64) {
 	if len(parts) == 0 {
-		c.accept(req, job, storage.Condition{Key: c.keys.WaitPart(job.ID, job.WaitKey, 0), Version: first})
+		c.accept(req, job, storage.Prompt, storage.Condition{Key: c.keys.WaitPart(job.ID, job.WaitKey, 0), Version: first})
 		return
 	}
 	n, size := 0, 0
--- /dev/null
+++ b/internal/scenario/overload_test.go
@@ -0,0 +1,364 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pipitlatch/internal/admission"
+	"pipitlatch/internal/micros"
+)
+
+// offeredFlow is one flow of the overload: so many jobs a second.
+type offeredFlow struct {
+	flow  admission.Flow
+	rate  float64
+	set   map[string]string
+	least float64 // share that must be taken
+}
+
+// overloadFlows ask for some three times of what the state service stores: 20 changes a
+// second, of which a job takes two and everything else some.
+var overloadFlows = []offeredFlow{
+	{admission.Flow{Team: "alpha", Class: "bulk"}, 14, map[string]string{"cores": "2", "runs": "3"}, 0.02},
+	{admission.Flow{Team: "alpha", Class: "nightly"}, 4, map[string]string{"cores": "2", "runs": "4"}, 0.05},
+	{admission.Flow{Team: "beta", Class: "counter"}, 0.8, map[string]string{"cores": "1", "runs": "2", "rank": "urgent"}, 0.8},
+	{admission.Flow{Team: "beta", Class: "batch"}, 4, map[string]string{"cores": "2", "runs": "4"}, 0.1},
+	{admission.Flow{Team: "gamma", Class: "low"}, 0.8, map[string]string{"cores": "2", "runs": "3", "rank": "low"}, 0.8},
+	{admission.Flow{Team: "gamma", Class: "huge"}, 0.15, map[string]string{"cores": "4", "tasks": "3", "runs": "8", "rank": "low"}, 0.6},
+}
+
+// overload plays one overload with three real processes.
+type overload struct {
+	*deployment
+	length   time.Duration
+	begin    time.Time
+	mu       sync.Mutex
+	history  history
+	flowOf   map[string]int // by reference
+	refused  []int          // answers, by flow
+	patience time.Duration  // for which users submit again
+}
+
+var verdictLine = regexp.MustCompile(`msg=verdict job=(\S+) epoch=(\d+) leader=(\d+) admit=(true|false)`)
+
+// takeLog takes the verdicts out of a controller's log, and drops the rest of what is told
+// only for debugging.
+func (o *overload) takeLog(line string) bool {
+	if m := verdictLine.FindStringSubmatch(line); m != nil {
+		number, _ := strconv.ParseUint(m[2], 10, 64) // digits, by the expression
+		leader, _ := strconv.ParseUint(m[3], 10, 64)
+		o.note(answer{ref: m[1], epoch: epochID{leader, number}, admit: m[4] == "true"})
+		return true
+	}
+	return strings.Contains(line, "level=DEBUG")
+}
+
+func (o *overload) note(a answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a.at = time.Since(o.begin)
+	o.history.answers = append(o.history.answers, a)
+}
+
+// offer submits a flow's jobs for as long as the overload lasts.
+func (o *overload) offer(n int) {
+	f := overloadFlows[n]
+	for i := 0; time.Since(o.begin) < o.length; i++ {
+		set := map[string]string{"team": f.flow.Team, "class": f.flow.Class, "ram": "1", "image": "i", "size": "0.1", "spot": "yes"}
+		for k, v := range f.set {
+			set[k] = v
+		}
+		var j *userJob
+		o.with(func(w *World) {
+			j = w.users.parse(fmt.Sprintf("wk-%06d", len(o.jobs)+1), set)
+			j.sent, j.first = true, w.now
+			w.users.jobs[j.ref] = j
+			w.users.order = append(w.users.order, j.ref)
+			o.jobs = append(o.jobs, j)
+		})
+		o.mu.Lock()
+		o.flowOf[j.ref] = n
+		o.mu.Unlock()
+		o.people.Go(func() { o.person(j, n) })
+		time.Sleep(time.Duration((0.5 + rand.Float64()) / f.rate * float64(time.Second)))
+	}
+}
+
+// person submits a job, for as long as its patience lasts, as it is told, and asks for it until it is over.
+func (o *overload) person(j *userJob, n int) {
+	for begin := time.Now(); ; {
+		status, wait := o.submitOnce(j)
+		if status == http.StatusCreated || status == http.StatusOK {
+			break
+		}
+		o.mu.Lock()
+		o.refused[n]++
+		o.mu.Unlock()
+		if time.Since(begin)+wait > o.patience || !o.sleep(wait) {
+			return
+		}
+	}
+	o.with(func(w *World) { j.accepted = w.now })
+	for {
+		if !o.sleep(time.Duration(2000+rand.IntN(1500)) * time.Millisecond) {
+			return
+		}
+		if phase := o.askOnce(j); phase == "done" || phase == "cancelled" {
+			return
+		}
+	}
+}
+
+// sleep waits, and tells whether the test goes on.
+func (o *overload) sleep(d time.Duration) bool {
+	select {
+	case <-o.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (o *overload) request(method, path string, body []byte, patience time.Duration) (*http.Response, []byte) {
+	r, err := http.NewRequestWithContext(o.ctx, method, "http://"+o.nodes[nodeName(rand.IntN(3))]+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	client := *o.client
+	client.Timeout = patience
+	resp, err := client.Do(r)
+	if err != nil {
+		return nil, nil
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, nil
+	}
+	return resp, answer
+}
+
+// submitOnce returns the status, 0 without an answer, and how long to wait.
+func (o *overload) submitOnce(j *userJob) (int, time.Duration) {
+	wait := time.Second + time.Duration(rand.IntN(500))*time.Millisecond
+	resp, body := o.request("POST", "/submissions", j.body, 5*time.Second)
+	if resp == nil {
+		return 0, wait
+	}
+	o.note(answer{ref: j.ref, status: resp.StatusCode})
+	if resp.StatusCode < 300 {
+		o.with(func(w *World) { w.users.hear(j, body) })
+	}
+	if after, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		wait = max(wait, time.Duration(min(after, 30))*time.Second)
+	}
+	return resp.StatusCode, wait
+}
+
+func (o *overload) askOnce(j *userJob) string {
+	resp, body := o.request("GET", "/submissions/"+j.ref, nil, 2*time.Second)
+	if resp == nil {
+		return ""
+	}
+	if resp.StatusCode != http.StatusOK {
+		o.note(answer{ref: j.ref, status: resp.StatusCode})
+		return ""
+	}
+	phase := ""
+	o.with(func(w *World) {
+		w.users.hear(j, body)
+		phase = j.lastPhase
+	})
+	o.note(answer{ref: j.ref, phase: phase})
+	return phase
+}
+
+// troubles kill, freeze and cut off controllers, at parts of the overload's length.
+func (o *overload) troubles(program string) {
+	at := func(part float64) { time.Sleep(time.Until(o.begin.Add(time.Duration(part * float64(o.length))))) }
+	at(0.3)
+	o.restart(o.holder(), program, time.Second)
+	at(0.45)
+	frozen := o.holder()
+	o.signal(frozen, syscall.SIGSTOP)
+	time.Sleep(min(7*time.Second, o.length/7)) // beyond its workers' lease, if there is time
+	o.signal(frozen, syscall.SIGCONT)
+	at(0.65)
+	o.stateRefuses(nodeName(rand.IntN(3)), min(6*time.Second, o.length/8))
+	at(0.85)
+	o.stateOutage(min(5*time.Second, o.length/20))
+}
+
+func (o *overload) signal(node string, s syscall.Signal) {
+	if err := o.running[node].cmd.Process.Signal(s); err != nil {
+		o.t.Errorf("%s: %v", node, err)
+	}
+}
+
+// flowReport is what became of a flow.
+type flowReport struct {
+	offered, taken, refused, served int
+	longest                         float64 // seconds from accepted to begun
+	fair                            int64   // jobs that a fair division of what was taken gives it
+}
+
+// report counts what became of each flow.
+func (o *overload) report() []flowReport {
+	out := make([]flowReport, len(overloadFlows))
+	o.with(func(w *World) {
+		for _, j := range o.jobs {
+			r := &out[o.flowOf[j.ref]]
+			r.offered++
+			if j.accepted == 0 {
+				continue
+			}
+			r.taken++
+			if len(j.done) == j.shards {
+				r.served++
+			}
+			if j.firstStart != 0 {
+				r.longest = max(r.longest, micros.Seconds(j.firstStart-j.accepted))
+			}
+		}
+	})
+	var claims []admission.Claim
+	taken := int64(0)
+	for i := range out {
+		out[i].refused = o.refused[i]
+		taken += int64(out[i].taken)
+		claims = append(claims, admission.Claim{Flow: overloadFlows[i].flow, TeamWeight: 1, ClassWeight: 1, Demand: int64(out[i].offered)})
+	}
+	for i, n := range admission.Divide(taken, 0, claims) {
+		out[i].fair = n
+	}
+	return out
+}
+
+// jain is Jain's index of what each flow got of its fair share: 1 is fair.
+func jain(reports []flowReport) float64 {
+	sum, squares := 0.0, 0.0
+	for _, r := range reports {
+		x := float64(r.taken) / float64(max(1, r.fair))
+		sum += x
+		squares += x * x
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / float64(len(reports)) / squares
+}
+
+// TestOverload has six flows of three teams ask three real processes for about three times
+// what they can store, while processes are killed, frozen and cut off. Every flow is served,
+// no job gets two final answers, nor a reference two verdicts in one epoch. By default it
+// takes less than a minute:
+//
+//	PIPITLATCH_OVERLOAD=600          is ten minutes of it
+//	PIPITLATCH_OVERLOAD_OFF=1        has fair admission off: the test fails
+//	PIPITLATCH_OVERLOAD_COMMIT=HASH  plays a version of the history, with it off
+func TestOverload(t *testing.T) {
+	seconds, err := strconv.Atoi(os.Getenv("PIPITLATCH_OVERLOAD"))
+	if err != nil {
+		seconds = 24
+	}
+	like := shape{teams: []string{"alpha", "beta", "gamma"}, writeRPS: 20, connections: 2000, logLevel: "debug"}
+	program := build(t, repositoryRoot)
+	if commit := os.Getenv("PIPITLATCH_OVERLOAD_COMMIT"); commit != "" {
+		program = programAt(t, commit)
+	} else if os.Getenv("PIPITLATCH_OVERLOAD_OFF") == "" {
+		like.operator = filepath.Join(t.TempDir(), "operator.textproto")
+		if err := os.WriteFile(like.operator, []byte("fair_admission { enabled: true epoch_ms: 2000 lag_s: 15 }"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	o := &overload{deployment: newDeployment(t, like), length: time.Duration(seconds) * time.Second, flowOf: map[string]int{},
+		refused: make([]int, len(overloadFlows)), patience: min(time.Minute, time.Duration(seconds)*time.Second*2/3)}
+	o.take = o.takeLog
+	o.with(func(w *World) { w.state.writeRPS = like.writeRPS })
+	for i := range 3 {
+		o.start(nodeName(i), program)
+	}
+	o.until("machines obey", func(w *World) bool {
+		return slices.ContainsFunc(w.cloud.sorted(), func(m *machine) bool { return m.warrant > 0 })
+	})
+	o.begin = time.Now()
+	var offers sync.WaitGroup
+	for n := range overloadFlows {
+		offers.Go(func() { o.offer(n) })
+	}
+	o.troubles(program)
+	offers.Wait()
+	o.finish()
+	o.conclude()
+}
+
+// finish waits until what was accepted is over, as far as users know, within a bound.
+func (o *overload) finish() {
+	all := make(chan struct{})
+	go func() {
+		o.people.Wait()
+		close(all)
+	}()
+	select {
+	case <-all:
+	case <-time.After(o.length/2 + 2*time.Minute):
+	}
+}
+
+// conclude reports, and holds the history and the shares against what was promised.
+func (o *overload) conclude() {
+	t := o.t
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h := &o.history
+	h.done, h.asked = map[string]bool{}, map[string]bool{}
+	o.with(func(w *World) {
+		for _, j := range o.jobs {
+			h.done[j.ref] = len(j.done) == j.shards
+			h.asked[j.ref] = true
+		}
+		for _, b := range w.broken {
+			t.Errorf("rule broken: %s", b)
+		}
+	})
+	for i, wrong := range h.judge() {
+		if i < 20 {
+			t.Errorf("history: %s", wrong)
+		}
+	}
+	epochs := map[epochID]int{}
+	for _, a := range h.answers {
+		if a.epoch != (epochID{}) {
+			epochs[a.epoch]++
+		}
+	}
+	reports := o.report()
+	t.Logf("%v of overload, %d answers and verdicts, %d epochs, Jain's index %.3f", o.length, len(h.answers), len(epochs), jain(reports))
+	for i, r := range reports {
+		f := overloadFlows[i]
+		t.Logf("%-14s offered %5d taken %5d refused %6d served %5d longest wait %6.1f s fair share %5d", f.flow.Team+"/"+f.flow.Class,
+			r.offered, r.taken, r.refused, r.served, r.longest, r.fair)
+		if float64(r.taken) < f.least*float64(r.offered) {
+			t.Errorf("%v: %d of %d taken", f.flow, r.taken, r.offered)
+		}
+		if r.served < r.taken {
+			t.Errorf("%v: %d of %d served", f.flow, r.served, r.taken)
+		}
+	}
+	if o.like.operator != "" && len(epochs) == 0 {
+		t.Error("no verdict under any epoch")
+	}
+}
