--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -154,25 +154,17 @@
 	return uint32(max(1, p.give*Points/p.demand))
 }
 
-// group divides the claims among windows: one for a flow, those of the largest demands of
-// each team first, then one for the rest of a team, then one for all others.
+// group divides the claims among windows: one for each of the largest demands, one for the
+// rest of each team, so that a quiet team does not share with one that has many flows, and one
+// for all others.
 func group(claims []Claim, gives []int64, most int) map[Flow]part {
-	rank, teams := make([]int, len(claims)), map[string]bool{}
+	teams := map[string]bool{}
+	order := make([]int, len(claims))
 	for i, c := range claims {
 		teams[c.Flow.Team] = true
-		for k, d := range claims {
-			if d.Flow.Team == c.Flow.Team && (d.Demand > c.Demand || d.Demand == c.Demand && k < i) {
-				rank[i]++ // within its team
-			}
-		}
-	}
-	order := make([]int, len(claims))
-	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(rank[a], rank[b]), cmp.Compare(claims[b].Demand, claims[a].Demand))
-	})
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(claims[b].Demand, claims[a].Demand) })
 	out := map[Flow]part{}
 	for n, i := range order {
 		f := claims[i].Flow
--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pipitlatch/internal/admission"
@@ -154,3 +155,54 @@
 		t.Error("the epoch before is not in force")
 	}
 }
+
+// TestEpochIsWrittenAsLeader: carried out late, or by a leader that was replaced, or over a
+// newer epoch, the write has no effect.
+func TestEpochIsWrittenAsLeader(t *testing.T) {
+	c := newFair(t)
+	c.replica.Leader = storage.Versioned[storage.Process]{Value: c.proc, Version: 4}
+	c.leader.version = 4
+	c.now += 20 * micros.Second // the epoch that was there has ended
+	for i := range 3000 {
+		c.fair.tracker.Asked(c.now, admission.Flow{Team: "alpha", Class: "c"}, fmt.Sprintf("wk-%06d", i))
+		c.fair.tracker.Refused(c.now)
+	}
+	c.out = &Output{}
+	c.tickAdmission()
+	if len(c.out.State) != 1 {
+		t.Fatalf("%d requests", len(c.out.State))
+	}
+	r := c.out.State[0].Request
+	want := []storage.Condition{{Key: c.keys.Leader(), Version: 4}, {Key: c.keys.Admission(), Version: 9}}
+	if !slices.Equal(r.Conditions, want) {
+		t.Errorf("conditions %+v, want %+v", r.Conditions, want)
+	}
+	e, err := admission.Parse(r.Puts[0].Value)
+	if err != nil || e.Number != 4 || e.Leader != 4 {
+		t.Errorf("%+v, %v", e, err)
+	}
+	c.out = &Output{}
+	c.tickAdmission()
+	if len(c.out.State) != 0 {
+		t.Error("written again while the write is out")
+	}
+}
+
+// TestLagsGoOnWithTheNextHolder: as long as what the last one told is not old.
+func TestLagsGoOnWithTheNextHolder(t *testing.T) {
+	flow := admission.Flow{Team: "alpha", Class: "low"}
+	told := &Status{From: storage.Process{Member: "n1", Incarnation: "x"}, Queues: []QueueStatus{{Queue: 0,
+		Lags: []admission.FlowLag{{Flow: flow, Lag: admission.Lag{Team: 40 * micros.Second, Class: 50 * micros.Second}}}}}}
+	for age, want := range map[micros.Time]admission.Lag{
+		3 * micros.Second:       {Team: 40 * micros.Second, Class: 50 * micros.Second},
+		lagKept + micros.Second: {},
+	} {
+		c := newFair(t)
+		c.now += 100 * micros.Second
+		c.peers["n1"] = &peerView{at: c.now - age, status: told}
+		h := newHolder(c, 0, storage.Versioned[storage.QueueRecord]{Version: 20})
+		if got := h.shares.queue.Lag(flow); got != want {
+			t.Errorf("told %d before: %+v", age, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/large_bench_test.go
@@ -0,0 +1,126 @@
+package coordination
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
+)
+
+// BenchmarkTakeover is what a new holder does from its lease on: it reads the records it
+// holds, hears of every machine once, and plans.
+func BenchmarkTakeover(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			c, reports := newLarge(b, size)
+			b.ReportAllocs()
+			now := 2 * micros.Second
+			for b.Loop() {
+				now += 10 * micros.Second
+				c.now, c.out = now, &Output{}
+				c.term.Confirm(now)
+				c.holders[0] = newHolder(c, 0, storage.Versioned[storage.QueueRecord]{Version: c.replica.Queues[0].Version})
+				for _, r := range reports {
+					r.Seq++
+					c.tickAt = now
+					c.Step(now, now, &ReportIn{Request: 1, Report: r})
+				}
+				c.out = &Output{}
+				c.holders[0].schedule()
+			}
+			if h := c.holders[0]; len(h.machines) != size || !h.machines[size-1].known {
+				b.Fatal("not taken over")
+			}
+		})
+	}
+}
+
+// BenchmarkThirdSilent is one look at the timers while a third of the fleet is silent.
+func BenchmarkThirdSilent(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			c, reports := newLarge(b, size)
+			now := 2 * micros.Second
+			for _, r := range reports {
+				r.Seq++
+				c.tickAt = now
+				c.Step(now, now, &ReportIn{Request: 1, Report: r})
+			}
+			h := c.holders[0]
+			c.now, c.out = now+h.silence()+micros.Second, &Output{}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.now += 50 * micros.Millisecond
+				for i, m := range h.machines {
+					m.calling = true
+					if i%3 != 0 {
+						m.seen, m.answered = c.now, c.now
+					} else {
+						m.failed, m.vainAt = 1, c.now-micros.Second
+					}
+				}
+				for _, m := range h.machines {
+					h.tickMachine(m)
+					m.draining = ""
+				}
+				c.out = &Output{}
+			}
+		})
+	}
+}
+
+// BenchmarkAllIdle decides which machines are given back when all are idle at once.
+func BenchmarkAllIdle(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			c, reports := newLarge(b, size)
+			now := 2 * micros.Second
+			for _, r := range reports {
+				r.Seq++
+				r.Tasks = nil
+				c.tickAt = now
+				c.Step(now, now, &ReportIn{Request: 1, Report: r})
+			}
+			h := c.holders[0]
+			c.now = now + 100*micros.Second
+			b.ReportAllocs()
+			for b.Loop() {
+				c.now += micros.Second
+				c.term.Confirm(c.now)
+				c.out = &Output{}
+				h.needs = nil
+				for _, m := range h.machines {
+					m.seen, m.answered, m.kind, m.draining = c.now, c.now, c.catalog["m"], ""
+				}
+				h.returnIdle()
+			}
+		})
+	}
+}
+
+// TestMemoryByFleet reports what a holder's state takes, and that it grows as the fleet does.
+func TestMemoryByFleet(t *testing.T) {
+	perMachine := map[int]uint64{}
+	for _, size := range fleetSizes {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c, reports := newLarge(t, size)
+		for _, r := range reports {
+			r.Seq++
+			c.tickAt = 2 * micros.Second
+			c.Step(2*micros.Second, 2*micros.Second, &ReportIn{Request: 1, Report: r})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		perMachine[size] = (after.HeapAlloc - before.HeapAlloc) / uint64(size)
+		t.Logf("%d machines, eight tasks each: %d KB, %d bytes a machine", size, (after.HeapAlloc-before.HeapAlloc)/1024, perMachine[size])
+		runtime.KeepAlive(c)
+		runtime.KeepAlive(reports)
+	}
+	if perMachine[4000] > 2*perMachine[400] {
+		t.Errorf("memory grows faster than the fleet: %v", perMachine)
+	}
+}
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -701,6 +701,7 @@
 	"taken":         (*World).expectTaken,
 	"begun":         (*World).expectBegun,
 	"epochs":        (*World).expectEpochs,
+	"behind":        (*World).expectBehind,
 }
 
 // expect says why an expectation is not met, or nothing.
