--- a/internal/scenario/loopback_test.go
+++ b/internal/scenario/loopback_test.go
@@ -176,6 +176,34 @@
 	stateURL, cloudURL string
 }
 
+// cpu is the processor time that the process has used.
+func (p *process) cpu() time.Duration {
+	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid)) // the process may just have ended
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])   // in hundredths of a second, as the next
+	system, _ := strconv.Atoi(fields[12]) // see proc(5)
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// measureSteady reports the processor time of some seconds in which nothing happens but
+// reports and polls; only where the size of the fleet was asked for.
+func (f *loopbackFleet) measureSteady() {
+	if os.Getenv("PIPITLATCH_FLEET") == "" {
+		return
+	}
+	const length = 15 * time.Second
+	before, reports := f.process.cpu(), 0
+	f.with(func(*World) { reports = f.oks })
+	time.Sleep(length)
+	used := f.process.cpu() - before
+	f.with(func(*World) { reports = f.oks - reports })
+	f.t.Logf("steady: %.1f%% of a core, %.0f reports a second", 100*used.Seconds()/length.Seconds(), float64(reports)/length.Seconds())
+}
+
 // fleetSize is how many stand-in workers there are: PIPITLATCH_FLEET, or a few.
 func fleetSize() int {
 	if size, err := strconv.Atoi(os.Getenv("PIPITLATCH_FLEET")); err == nil {
@@ -375,6 +403,7 @@
 	f.until("all machines obey", func(w *World) bool { return f.obeying(w) >= f.size })
 	f.until("all services run and all arrays are done", f.served)
 	t.Logf("%d machines: %v of %d sockets, %d MB", f.size, f.process.most, f.connections, f.memory)
+	f.measureSteady()
 	// Every worker comes anew at once.
 	before := 0
 	f.with(func(w *World) {
