--- /dev/null
+++ b/internal/coordination/exceptions.go
@@ -0,0 +1,93 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"pipitlatch/internal/coordination/plan"
+	"pipitlatch/internal/micros"
+)
+
+// The exceptions to the order by the index alone, in the order in which they apply: work
+// within its team's guarantee, flows behind their fair share (fairness.go), classes near the
+// end of their objectives; and, before all of these, first tasks that have waited long. Each
+// is the smallest that worked; docs/design.md has their figures.
+
+// compareArrays orders jobs whose index is known.
+func compareArrays(a, b ranked) int {
+	switch {
+	case a.guaranteed != b.guaranteed:
+		return first(a.guaranteed)
+	case a.behind != b.behind:
+		return a.behind.Compare(b.behind)
+	case a.nearObjective != b.nearObjective:
+		return first(a.nearObjective)
+	case a.nearObjective:
+		return cmp.Compare(a.j.ready, b.j.ready)
+	}
+	return cmp.Compare(b.q.Index, a.q.Index)
+}
+
+// first orders what it is true for before the rest.
+func first(is bool) int {
+	if is {
+		return -1
+	}
+	return 1
+}
+
+// nearObjective tells whether a job is in the last part of the time within which its
+// class's objectives want its tasks begun, or it finished. Exception to the design:
+// the index ranks what is long and late behind all that is short, so that under load
+// such a job begins last of all, and then long after these times. Past them nothing
+// is gained any more, and the index decides again.
+func (h *holder) nearObjective(j *job) bool {
+	age := h.c.wall - j.ready
+	for _, o := range h.c.cfg.Settings.Objectives {
+		if o.Class != j.Class {
+			continue
+		}
+		limit := micros.FromSeconds(o.WithinS)
+		switch o.Kind {
+		case "wait":
+		case "finished":
+			limit -= micros.Time(float64(h.estimate(j)) * h.c.stats.Spread(j.Class))
+		default:
+			continue
+		}
+		if age > limit*9/10 && age < limit {
+			return true
+		}
+	}
+	return false
+}
+
+// firstPatience is how long a job waits for the start of its first task before
+// that task goes ahead of the index.
+const firstPatience = 120 * micros.Second
+
+// placeFirst places the first task of the jobs that have waited long for it,
+// before all others. Exception to the design: the index ranks what is long and
+// late behind all that is short, under load for ever, and every job is to begin.
+func (h *holder) placeFirst(arrays []ranked, machines []*plan.Machine) {
+	var late []ranked
+	for _, r := range arrays {
+		j := r.j
+		if h.c.wall-j.ready > firstPatience && len(j.live) == 0 && j.finishedCount() == 0 {
+			late = append(late, r)
+		}
+	}
+	slices.SortStableFunc(late, func(a, b ranked) int { return cmp.Compare(a.j.ready, b.j.ready) })
+	for _, r := range late {
+		one := 1
+		h.placeArray(r, machines, &one)
+	}
+}
+
+// guaranteed tells whether the job fits into its team's guarantee with all that
+// the team runs: such work need not wait on other teams. Exception to the design,
+// whose index knows no teams: it comes before what teams borrow.
+func (h *holder) guaranteed(j *job) bool {
+	t := h.c.teams[j.Team]
+	return t != nil && t.GuaranteeCPU+t.GuaranteeG > 0 && t.Guaranteed(h.usage[j.Team].Add(j.Need.Times(int64(j.waiting.Len()))))
+}
