Fair admission: an epoch the flood refuses is tried again at once, and may overdraw the budget

Change: tried again at the next look, with an urgency of its own; the leader adds up demand four times a second only.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -163,6 +163,9 @@
 // Refused notes that a submission was refused for lack of room.
 func (t *Tracker) Refused(now micros.Time) { t.refused.add(now) }
 
+// RefusedLately is how many submissions were refused for lack of room.
+func (t *Tracker) RefusedLately(now micros.Time) int64 { return t.refused.total(now) }
+
 // Demand is what was seen of late.
 func (t *Tracker) Demand(now micros.Time) Demand {
 	t.turn(now)
--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -191,3 +191,6 @@
 
 // Written notes that an epoch was sent to the state service.
 func (p *Planner) Written(now micros.Time) { p.writtenAt = now }
+
+// Failed notes that it was not written, as far as is known: the next look tries again.
+func (p *Planner) Failed() { p.writtenAt = 0 }
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -20,6 +20,7 @@
 	planner  *admission.Planner
 	heard    map[string]heardDemand // by member
 	toldAt   micros.Time
+	lookedAt micros.Time // last look whether an epoch is due
 	writing  bool
 	leader   uint64      // fencing token under which the planner plans
 	oddAt    micros.Time // last record told as ignored
@@ -34,6 +35,9 @@
 const (
 	// demandEvery is how often siblings are told what this controller was asked for.
 	demandEvery = micros.Second
+	// lookEvery is how often the leader looks whether an epoch is due: adding up what all
+	// controllers were asked for takes time.
+	lookEvery = 250 * micros.Millisecond
 	// demandLifetime is how long what a sibling said counts.
 	demandLifetime = 5 * micros.Second
 	// windowBytes is about what a flow's window takes in an epoch's record.
@@ -150,7 +154,11 @@
 func (c *Core) tickAdmission() {
 	f := c.fair
 	l := &c.leader
-	if f == nil || f.writing {
+	if f == nil || f.writing || c.now-f.lookedAt < lookEvery {
+		return
+	}
+	f.lookedAt = c.now
+	if f.view.Current(c.now) == nil && !c.refusedAnywhere() {
 		return
 	}
 	if f.leader != l.version {
@@ -166,18 +174,36 @@
 		// Carried out late, or by a leader that was replaced, it has no effect.
 		Conditions: []storage.Condition{c.asLeader(), {Key: c.keys.Admission(), Version: c.replica.Admission.Version}},
 		Puts:       []storage.Put{{Key: c.keys.Admission(), Value: storage.Encode(e)}},
-	}, storage.Urgent, stateTimeout, func(r *storage.Reply) {
+	}, storage.Critical, stateTimeout, func(r *storage.Reply) {
 		f.writing = false
-		if r.Outcome == storage.OK {
-			c.log(levelInfo, "overload: admission epoch", "epoch", e.Number, "flows", len(e.Windows), "rest_ppm", int64(e.Rest.Width)*1_000_000/admission.Points,
-				"refused", demand.Refused, "admitted", demand.Admitted, "capacity_milli", capacity)
+		if r.Outcome != storage.OK {
+			// In the flood that it is to end the state service refuses it as well: the next
+			// look tries again, instead of waiting for the time of the next epoch. If it was
+			// carried out all the same, the condition on its own version fails.
+			f.planner.Failed()
+			return
 		}
+		c.log(levelInfo, "overload: admission epoch", "epoch", e.Number, "flows", len(e.Windows), "rest_ppm", int64(e.Rest.Width)*1_000_000/admission.Points,
+			"refused", demand.Refused, "admitted", demand.Admitted, "capacity_milli", capacity)
 	})
 	if f.writing {
 		f.planner.Written(c.now)
 	}
 }
 
+// refusedAnywhere tells whether any controller refused a submission for lack of room of late.
+func (c *Core) refusedAnywhere() bool {
+	if c.fair.tracker.RefusedLately(c.now) > 0 {
+		return true
+	}
+	for _, d := range c.fair.heard {
+		if c.now-d.at < demandLifetime && d.demand.Refused > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // demandOfAll adds up what all controllers were asked for of late.
 func (c *Core) demandOfAll() admission.Demand {
 	all := []admission.Demand{c.fair.tracker.Demand(c.now)}
--- a/internal/storage/request.go
+++ b/internal/storage/request.go
@@ -128,16 +128,20 @@
 // Urgency is how far a request may overdraw the budget.
 type Urgency uint8
 
-// Patient requests wait for their turn; Prompt ones, users' that are refused
-// otherwise, may overdraw the budget by half a second's worth, Urgent ones by a
-// whole: three controllers that overdraw by that much for their users at once have
-// the service refuse what the leader and the holders write.
+// Patient requests wait for their turn; Prompt ones, users' that are refused otherwise, may
+// overdraw the budget by half a second's worth, Urgent ones by a whole: three controllers that
+// overdraw by that much for their users at once have the service refuse what the leader and
+// the holders write. Critical is what ends an overload.
 const (
 	Patient Urgency = iota
 	Prompt
 	Urgent
+	Critical
 )
 
+// overdraft is by how many quarters of a second's worth a request may overdraw the budget.
+var overdraft = [...]int64{Patient: 0, Prompt: 2, Urgent: 4, Critical: 6}
+
 // Take reports whether a request with so many changes may be sent now.
 func (b *Budget) Take(now micros.Time, writes int, u Urgency) bool {
 	if dt := min(now-b.at, micros.Second); dt > 0 {
@@ -150,7 +154,7 @@
 		b.used, b.writeUsed, b.usedAt = 0, 0, now
 	}
 	need, needWrites := int64(1000), int64(writes)*1000
-	floor, writeFloor := -b.rate*int64(u)/2, -b.writeRate*int64(u)/2
+	floor, writeFloor := -b.rate*overdraft[u]/4, -b.writeRate*overdraft[u]/4
 	if b.left-need < floor || (writes > 0 && b.writeLeft-needWrites < writeFloor) {
 		return false
 	}
