--- a/internal/scenario/loopback_test.go
+++ b/internal/scenario/loopback_test.go
@@ -213,14 +213,14 @@
 }
 
 // newLoopbackFleet starts the stand-ins; no controller runs yet.
-func newLoopbackFleet(t *testing.T) *loopbackFleet {
+func newLoopbackFleet(t *testing.T, connections int) *loopbackFleet {
 	t.Helper()
 	w, err := newWorld(parseLine(1, "cluster nodes=1 lease=26.5 cancel=51.5 report=5 rps=400 write_rps=100"), 1, func(string, ...any) {})
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &loopbackFleet{live: &live{w: w, begin: time.Now()}, t: t, size: fleetSize(), memory: 441, program: build(t, repositoryRoot)}
-	f.connections = max(300, f.size*9/5)
+	f.connections = connections
 	ctx, cancel := context.WithCancel(context.Background())
 	f.ctx = ctx
 	f.stateURL = f.listen(func(r protocol.HTTPRequest, reply func(int, []byte)) { w.state.handle("node-0", r, reply) })
@@ -395,7 +395,7 @@
 // asserts counts: sockets, threads and memory stay within the settings. By default
 // the fleet is small; PIPITLATCH_FLEET=4000 makes it as large as fleets get.
 func TestLoopbackFleet(t *testing.T) {
-	f := newLoopbackFleet(t)
+	f := newLoopbackFleet(t, max(300, fleetSize()*9/5))
 	f.start()
 	defer func() { f.stop() }()
 	var users sync.WaitGroup
@@ -443,3 +443,33 @@
 		f.t.Errorf("%d kB, may have %d MB", p.most["vmhwm"], f.memory)
 	}
 }
+
+// TestLoopbackTooFewConnections: max_connections is less than the fleet needs. The operator is
+// told; the workers that have a connection are served, users too; the process lives, keeps
+// to its bound, and no rule is broken.
+func TestLoopbackTooFewConnections(t *testing.T) {
+	f := newLoopbackFleet(t, fleetSize()*4/5)
+	f.start()
+	defer func() { f.stop() }()
+	var users sync.WaitGroup
+	f.submitAll(&users)
+	f.until("half of the machines obey", func(w *World) bool { return f.obeying(w) >= f.size/2 })
+	f.until("the operator is told", func(*World) bool { return f.process.said("connection refused") })
+	before := 0
+	f.with(func(*World) { before = f.oks })
+	f.until("workers are answered on", func(*World) bool { return f.oks >= before+f.size })
+	f.until("replicas run", func(*World) bool {
+		starts := 0
+		for _, j := range f.jobs {
+			starts += j.starts
+		}
+		return starts >= f.size/4
+	})
+	t.Logf("%d machines: %v of %d sockets", f.size, f.process.most, f.connections)
+	f.checkCounts(f.process)
+	f.with(func(w *World) {
+		for _, b := range w.broken {
+			t.Errorf("rule broken: %s", b)
+		}
+	})
+}
