Overload test: Jain's index of 0.85 at least, between 0.67 off and 0.96 on a loaded machine

Cause: the bound of 0.94 was set from one run on a quiet machine; under the race detector beside a full test run it was 0.961. Off, the test fails by this bound (0.673) and by three flows' shares.

--- a/internal/scenario/overload_test.go
+++ b/internal/scenario/overload_test.go
@@ -265,7 +265,7 @@
 
 // leastJain is what the shares must come to at least: with fair admission off, flows get what
 // they ask for most.
-const leastJain = 0.94
+const leastJain = 0.85
 
 // shortBulk is how many times more the bulk flow asks for in the short form: after it all who
 // are left come again to controllers that have time, so that it must press harder meanwhile.
