--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -92,6 +92,9 @@
 			zones = "a,b,c"
 			far = fmt.Sprintf(" zones=a,b,c distance_ms=%d", rapid.IntRange(0, 40).Draw(t, "distance"))
 		}
+		if rapid.Bool().Draw(t, "fair") {
+			far += " fair=yes lag=10"
+		}
 		fmt.Fprintf(&b, "cluster teams=alpha:16:24,beta:8:40,gamma:8:16 wait=urgent:4 guarantee=6 queues=%d seed=%d%s\n", rapid.IntRange(1, 2).Draw(t, "queues"),
 			rapid.IntRange(1, 1000).Draw(t, "seed"), far)
 		fmt.Fprintf(&b, "type small cores=8 ram=32 zones=%s room=3 spot_room=2 boot=15\n", zones)
