--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -206,3 +206,27 @@
 		}
 	}
 }
+
+// TestWholeFlowsOverdraw: where the budget has no more room for most, the job of a flow that
+// is given all it asks for is stored all the same.
+func TestWholeFlowsOverdraw(t *testing.T) {
+	for width, want := range map[uint32]bool{admission.Points: true, admission.Points - 1: false} {
+		c := newFair(t)
+		epoch := &admission.Epoch{Number: 4, Leader: 2, Written: c.wall, Length: 4 * micros.Second, Validity: 12 * micros.Second,
+			Rest: admission.Window{Width: width}}
+		if _, _, err := c.replica.Apply(storage.Item{Key: c.keys.Admission(), Value: storage.Encode(epoch), Version: 12}); err != nil {
+			t.Fatal(err)
+		}
+		c.admissionChanged(c.now)
+		for c.budget.Take(c.now, 1, storage.Prompt) { // until there is room for urgent ones only
+		}
+		stored := false
+		answers := ask(c, c.now, testJob(7), func(r *storage.Request) *storage.Reply {
+			stored = stored || (r.Kind == storage.Commit && len(r.Puts) > 0 && r.Puts[0].Key == c.keys.Job("wk-000007"))
+			return nil
+		})
+		if stored != want || (!want && (len(answers) != 1 || answers[0].Kind != Overloaded)) {
+			t.Errorf("width %d: stored %v, %+v", width, stored, answers)
+		}
+	}
+}
