Planning: what places an array's job among the others is a value with tests of its own

Cause: the exceptions to the index were compared amid the holder's code, without a test of their order. Change: plan.Precedence; the order is as it was.

--- a/internal/coordination/exceptions.go
+++ b/internal/coordination/exceptions.go
@@ -8,33 +8,8 @@
 	"pipitlatch/internal/micros"
 )
 
-// The exceptions to the order by the index alone, in the order in which they apply: work
-// within its team's guarantee, flows behind their fair share (fairness.go), classes near the
-// end of their objectives; and, before all of these, first tasks that have waited long. Each
-// is the smallest that worked; docs/design.md has their figures.
-
-// compareArrays orders jobs whose index is known.
-func compareArrays(a, b ranked) int {
-	switch {
-	case a.guaranteed != b.guaranteed:
-		return first(a.guaranteed)
-	case a.behind != b.behind:
-		return a.behind.Compare(b.behind)
-	case a.nearObjective != b.nearObjective:
-		return first(a.nearObjective)
-	case a.nearObjective:
-		return cmp.Compare(a.j.ready, b.j.ready)
-	}
-	return cmp.Compare(b.q.Index, a.q.Index)
-}
-
-// first orders what it is true for before the rest.
-func first(is bool) int {
-	if is {
-		return -1
-	}
-	return 1
-}
+// The exceptions to the order by the index (plan.Precedence), as they are found out about a
+// job; flows behind their fair share are in fairness.go.
 
 // nearObjective tells whether a job is in the last part of the time within which its
 // class's objectives want its tasks begun, or it finished. Exception to the design:
--- a/internal/coordination/reclaim.go
+++ b/internal/coordination/reclaim.go
@@ -12,7 +12,7 @@
 func (h *holder) startBy(r ranked) (micros.Time, bool) {
 	within, found := micros.Max, false
 	for _, o := range h.c.cfg.Settings.Objectives {
-		if (o.Kind == "wait" && o.Class == r.j.Class) || (o.Kind == "guarantee" && r.guaranteed) {
+		if (o.Kind == "wait" && o.Class == r.j.Class) || (o.Kind == "guarantee" && r.Guaranteed) {
 			within, found = min(within, micros.FromSeconds(o.WithinS)), true
 		}
 	}
@@ -143,7 +143,7 @@
 		return false // it would miss its own deadline for it
 	}
 	return a.j.Priority < r.j.Priority ||
-		(r.guaranteed && a.j.Priority == r.j.Priority && a.j.Team != r.j.Team && borrowed[a.j.Team] >= a.need.CPU)
+		(r.Guaranteed && a.j.Priority == r.j.Priority && a.j.Team != r.j.Team && borrowed[a.j.Team] >= a.need.CPU)
 }
 
 // begun is the time that an attempt has taken its room, which stopping it loses.
--- a/internal/coordination/scheduling.go
+++ b/internal/coordination/scheduling.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"pipitlatch/internal/admission"
 	"pipitlatch/internal/bookkeeping"
 	"pipitlatch/internal/coordination/fleet"
 	"pipitlatch/internal/coordination/plan"
@@ -28,10 +27,7 @@
 type ranked struct {
 	j *job
 	q *plan.Queued
-	// guaranteed work does not wait on other teams' borrowed capacity.
-	guaranteed    bool
-	behind        admission.Lag // of its flow, beyond the bound
-	nearObjective bool          // its class's tasks are to have begun soon
+	plan.Precedence
 }
 
 // schedule plans the waiting tasks and starts those whose slot is now.
@@ -98,8 +94,9 @@
 		if !h.mayStart(j, silent) {
 			continue
 		}
-		r := ranked{j: j, q: h.queued(j), guaranteed: h.guaranteed(j), behind: h.behind(j), nearObjective: h.nearObjective(j)}
-		j.wasGuaranteed = j.wasGuaranteed || r.guaranteed
+		r := ranked{j: j, q: h.queued(j)}
+		r.Precedence = plan.Precedence{Guaranteed: h.guaranteed(j), Behind: h.behind(j), NearObjective: h.nearObjective(j), Ready: j.ready, Queued: r.q}
+		j.wasGuaranteed = j.wasGuaranteed || r.Guaranteed
 		if j.Kind == bookkeeping.Service {
 			services = append(services, r)
 		} else {
@@ -111,7 +108,7 @@
 	slices.SortStableFunc(services, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.j.Priority, a.j.Priority), cmp.Compare(a.j.ready, b.j.ready))
 	})
-	slices.SortStableFunc(arrays, compareArrays)
+	slices.SortStableFunc(arrays, func(a, b ranked) int { return a.Precedence.Compare(b.Precedence) })
 	return services, arrays
 }
 
