A replaced holder takes no lease for run out: only news from after its end prove that

Cause: a holder that is cut off acts until its term ends; meanwhile its successor may answer machines that it does not hear. Change: written off only with news sent for after the lease's end.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -28,6 +28,10 @@
 // Valid tells whether the term still runs. Drift of both clocks is in Length.
 func (t *Term) Valid(now micros.Time) bool { return t.known && now-t.confirmed < t.Length }
 
+// ConfirmedSince tells whether the last news was sent for after a time: then the lease was
+// still ours at that time, and nobody else can have acted under a later one before it.
+func (t *Term) ConfirmedSince(at micros.Time) bool { return t.known && t.confirmed > at }
+
 // Age is how long ago the last news was sent for.
 func (t *Term) Age(now micros.Time) micros.Time {
 	if !t.known {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -146,7 +146,10 @@
 	}
 	up := m.session != 0 || m.block.Used
 	quiet := now - max(m.seen, h.calmAt)
-	if up && !m.expired && now > h.lastAnswer(m)+h.c.cfg.LeaseRunOut() && quiet > h.silence() {
+	// A holder that is cut off may have been replaced long before its term ends, and its
+	// successor may answer a machine that is silent here: only news from after the lease's end,
+	// that this is still the holder, show that nobody renewed it.
+	if up && !m.expired && h.c.term.ConfirmedSince(h.lastAnswer(m)+h.c.cfg.LeaseRunOut()) && quiet > h.silence() {
 		h.c.log(levelInfo, "machine's lease ran out", "machine", m.id)
 		h.emptied(m)
 		m.expired = true
