--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -16,6 +16,7 @@
 	teams   []team
 	limits  limits
 	next    string // the lines of the announced limits of the state service, or empty
+	program string // the program that the controllers run at first; empty: that of the deploy file
 	types   []machineType
 	workers workerTimes
 }
@@ -69,6 +70,7 @@
 	for i := range 3 {
 		wd.nodes = append(wd.nodes, &node{
 			name: fmt.Sprintf("latchhost-%d", i), zone: d.zones[0], listen: ports[2*i], internal: ports[2*i+1],
+			program: d.program,
 		})
 	}
 	wd.cloud = newCloud(wd, d.types, listLag, cloudRPS)
--- a/review/standin/split.go
+++ b/review/standin/split.go
@@ -1,6 +1,10 @@
 package main
 
-import "time"
+import (
+	"os"
+	"path/filepath"
+	"time"
+)
 
 // announced are the limits to come of the "next" deployments.
 const announced = "rps = 100.0\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4"
@@ -13,11 +17,21 @@
 	}
 }
 
-// split has a hundred machines serve while all controllers are restarted one after the other, with settings that
-// announce smaller limits of the state service. Then the user of a small service ends it, and the machines that
-// are idle then are returned to the cloud.
+// split has a hundred machines serve while the three controllers of the version in production are killed one after
+// the other and come back with the present version. Then the user of a small service ends it, and the machines that
+// are idle then are returned to the cloud. All settings announce smaller limits of the state service. Without the
+// disruption the present version serves from the beginning.
 func split(wd *world, trouble bool) {
 	d := licenceSite()
+	d.next = announced
+	if production := filepath.Join(wd.root, "target", "review-production"); trouble {
+		if _, err := os.Stat(production); err == nil {
+			d.program = production
+		} else {
+			wd.note("the version in production is not built: the present one, without the announcement, stands for it")
+			d.next = ""
+		}
+	}
 	wd.deploy(d)
 	wd.cloud.add(100, "tench-small", "derby-east", 4*time.Second)
 	large, small := counterJob("wk-000001", 168), counterJob("wk-000002", 16)
@@ -32,6 +46,7 @@
 		d.next = announced
 		for _, n := range wd.nodes {
 			wd.kill(n)
+			n.program = ""
 			wd.writeSettings(n, d, wd.services[0], wd.services[1])
 			time.Sleep(3 * time.Second)
 			wd.startProcess(n)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -24,6 +24,7 @@
 // node is a controller: a process of the project's program.
 type node struct {
 	name, zone, listen, internal, settings string
+	program                                string // empty: that of the deploy file
 	process                                *exec.Cmd
 	ended                                  chan struct{}
 }
@@ -255,7 +256,11 @@
 		wd.fatal("%v", err)
 	}
 	defer log.Close()
-	n.process = exec.Command(wd.run[0], args...)
+	program := wd.run[0]
+	if n.program != "" {
+		program = n.program
+	}
+	n.process = exec.Command(program, args...)
 	n.process.Env = append(os.Environ(), "LOG_LEVEL=info")
 	n.process.Stderr, n.process.Stdout = log, log
 	if err := n.process.Start(); err != nil {
@@ -267,7 +272,7 @@
 		_ = process.Wait()
 		close(ended)
 	}()
-	wd.note("%s starts", n.name)
+	wd.note("%s starts: %s", n.name, filepath.Base(program))
 }
 
 // kill ends a controller without a signal that it could catch.
