--- a/review/standin/hang.go
+++ b/review/standin/hang.go
@@ -12,6 +12,8 @@
 	waitBound = 90 * time.Second
 	// silenceBound is how long all questions about a job may stay without an answer.
 	silenceBound = 75 * time.Second
+	// watchEnd is when a run stops watching at the latest.
+	watchEnd = 113 * time.Second
 	// pollInterval and pollTimeout are the users' times.
 	pollInterval = 5 * time.Second
 	pollTimeout  = 2 * time.Second
@@ -39,7 +41,7 @@
 	if !wd.submit(large) {
 		wd.fatal("%s was not accepted", large.Ref)
 	}
-	wd.watchJob(counter, waitBound+16*time.Second)
+	wd.watchJob(counter, min(waitBound+16*time.Second, watchEnd-time.Since(wd.begun)))
 }
 
 // watchJob asks for a service's state at all nodes, as its user does, and checks for a while that the service
