--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,7 +35,8 @@
 		os.Exit(2)
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // the processes are ended also when nobody reads the output any more
 	go func() {
 		select {
 		case <-signals:
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -112,8 +112,8 @@
 // fatal ends a run that cannot go on.
 func (wd *world) fatal(format string, args ...any) {
 	wd.note("the case cannot run: "+format, args...)
-	fmt.Fprintf(os.Stderr, "the case cannot run: "+format+"\n", args...)
 	wd.close()
+	fmt.Fprintf(os.Stderr, "the case cannot run: "+format+"\n", args...)
 	os.Exit(2)
 }
 
