--- a/review/standin2/judge.go
+++ b/review/standin2/judge.go
@@ -84,6 +84,13 @@
 	j.rec.note("run %s is off %s: %s", task, machine, why)
 }
 
+// broke notes from outside the judge that a rule was broken.
+func (j *judge) broke(rule, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breaks(rule, format, args...)
+}
+
 // brokenRules returns how often a rule was broken.
 func (j *judge) brokenRules(rule string) int {
 	j.mu.Lock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -33,6 +33,7 @@
 
 var scenarios = map[string]scenario{
 	"4": {rule: "ran_twice", shape: midlands, types: upgradeTypes, play: playUpgrade},
+	"6": {rule: "idle_room", shape: midlands, types: mistakeTypes, play: playMistake},
 	"5": {rule: "wrong_place", shape: midlands, types: oneZoneTypes, play: playOneZone},
 }
 
--- a/review/standin2/users.go
+++ b/review/standin2/users.go
@@ -32,8 +32,9 @@
 	oneZone                 bool
 	expect, runs            float64 // seconds: what the owner estimates, and what a task takes
 	vary                    float64 // seconds that tasks may take less
+	mistaken                bool    // submitted with a mistake: every task fails
 
-	accepted, done bool // guarded by the users' lock
+	accepted, over bool // guarded by the users' lock
 }
 
 func (j *userJob) task(n int) string { return fmt.Sprintf("%s/%d", j.ref, n) }
@@ -94,7 +95,7 @@
 	u.complete[shard] = true
 }
 
-// submit has a user submit a job until it is accepted, and then poll until it is done.
+// submit has a user submit a job until it is accepted, and then poll until it is over.
 func (u *users) submit(j *userJob) {
 	u.mu.Lock()
 	u.jobs[j.ref] = j
@@ -123,18 +124,40 @@
 	return true
 }
 
-func (u *users) pollOnce(j *userJob) (done bool) {
+func (u *users) pollOnce(j *userJob) (over bool) {
 	n := u.world.nodes[rand.IntN(len(u.world.nodes))]
 	status, answer := call(u.world.client, http.MethodGet, "http://"+n.listen+"/submissions/"+j.ref, nil, pollTimeout)
 	u.world.rec.note("poll %s at %s: %d %s", j.ref, n.member, status, strings.TrimSpace(string(answer)))
 	var state struct {
 		Phase string `json:"phase"`
 	}
-	if status != http.StatusOK || json.Unmarshal(answer, &state) != nil || state.Phase != "done" {
+	if status != http.StatusOK || json.Unmarshal(answer, &state) != nil ||
+		(state.Phase != "done" && state.Phase != "cancelled") {
 		return false
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	j.done = true
+	j.over = true
 	return true
 }
+
+// cancel has a user cancel a job until that is confirmed.
+func (u *users) cancel(j *userJob) {
+	for {
+		n := u.world.nodes[rand.IntN(len(u.world.nodes))]
+		url := "http://" + n.listen + "/submissions/" + j.ref + "/abort"
+		status, answer := call(u.world.client, http.MethodPost, url, nil, submitTimeout)
+		u.world.rec.note("cancel %s at %s: %d %s", j.ref, n.member, status, strings.TrimSpace(string(answer)))
+		if status == http.StatusOK {
+			return
+		}
+		time.Sleep(retryDelay)
+	}
+}
+
+// isAccepted reports whether the user of a job was told that it is accepted.
+func (u *users) isAccepted(j *userJob) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return j.accepted
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -16,6 +16,7 @@
 
 	causeDone    = "done"
 	causeStopped = "stopped"
+	causeError   = "error"
 	causeNoRoom  = "no_room"
 	causeBusy    = "busy"
 	causeUnknown = "unknown"
--- a/review/standin2/worker_tasks.go
+++ b/review/standin2/worker_tasks.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// failsAfter is how long a task of a mistaken job runs.
+const failsAfter = 200 * time.Millisecond
+
 // execute carries out commands in order. The caller holds the lock.
 func (k *worker) execute(orders []workerOrder) {
 	for _, o := range orders {
@@ -83,6 +86,16 @@
 	t.Phase = phaseRunning
 	k.world.judge.started(t.job, t.Shard, k.place)
 	k.noteChange()
+	if t.job.mistaken {
+		time.AfterFunc(failsAfter, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			if t.Phase == phaseRunning {
+				k.exit(t, causeError)
+			}
+		})
+		return
+	}
 	if t.job.shape != "array" {
 		return
 	}
@@ -108,3 +121,17 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// hasRoom reports whether a healthy machine has free resources for a task of a job.
+func (k *worker) hasRoom(j *userJob) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	cores, ram := k.kind.cores-j.cores, k.kind.ramGB-j.ramGB
+	for _, t := range k.tasks {
+		if t.Phase != phaseExited {
+			cores -= t.job.cores
+			ram -= t.job.ramGB
+		}
+	}
+	return !k.isGone && time.Now().After(k.cutUntil) && cores >= 0 && ram >= 0
+}
