--- a/review/standin2/controllers.go
+++ b/review/standin2/controllers.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -95,6 +96,7 @@
 	defer func() { _ = log.Close() }() // the process has a descriptor of its own
 	n.process = exec.Command(command[0], append(command[1:len(command):len(command)], n.settings)...)
 	n.process.Stderr, n.process.Stdout = log, log
+	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the case
 	n.process.Env = append(os.Environ(), "LOG_LEVEL=info")
 	if err := n.process.Start(); err != nil {
 		return err
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -61,6 +61,7 @@
 	code := exitNotRun
 	w, err := newWorld(rec, s.shape, s.types(), o.trouble)
 	if err == nil {
+		go w.endInTime()
 		err = s.play(w, o)
 		w.close(logs)
 	}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +17,9 @@
 	cloudLatency = 120 * time.Millisecond
 )
 
+// mostTime is how long a case may take.
+const mostTime = 118 * time.Second
+
 // errNotRun is returned by a case whose preparations failed, so that it says nothing about the rule.
 var errNotRun = errors.New("the case could not run")
 
@@ -83,6 +88,20 @@
 	return fmt.Errorf("%w: not within %v: %s", errNotRun, within, what)
 }
 
+// endInTime ends a case that takes too long or is to stop, and its controllers with it.
+func (w *world) endInTime() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-stop:
+	case <-time.After(mostTime):
+	}
+	w.rec.say("the case is broken off")
+	w.close("")
+	_ = w.rec.close() // the exit code says that the case did not run
+	os.Exit(exitNotRun)
+}
+
 // close ends all processes that the case started, and keeps their logs beside the record.
 func (w *world) close(logs string) {
 	for _, n := range w.nodes {
