Log when a planning pass reaches its limit of tasks, and which jobs it leaves out

Change: a line at info level, every 10 s at most, with the job that took the last of the limit and the jobs behind it.

--- a/internal/coordination/fleet_log.go
+++ b/internal/coordination/fleet_log.go
@@ -79,6 +79,23 @@
 		"tasks_waiting", waiting)
 }
 
+// logPlanLimit logs that a planning pass reached its limit of tasks: the job that took the last of
+// them, how many it took, and the jobs that were left out.
+func (p *partitionLeader) logPlanLimit(last rankedJob, taken int, leftOut []rankedJob) {
+	if len(leftOut) == 0 || p.core.now-p.plan.limitLoggedAt < fleetLogInterval {
+		return
+	}
+	p.plan.limitLoggedAt = p.core.now
+	p.core.log(messages.LevelInfo, "planning pass reached its limit",
+		"partition", p.partition,
+		"job", last.job.ID,
+		"tasks_taken", taken,
+		"tasks_running", len(last.job.activeAttempts),
+		"jobs_left_out", len(leftOut),
+		"first_left_out", leftOut[0].job.ID,
+		"tasks_left_out", waitingTasks(leftOut))
+}
+
 // waitingTasks returns the number of pending tasks of the jobs.
 func waitingTasks(jobs []rankedJob) int {
 	n := 0
--- a/internal/coordination/plan_state.go
+++ b/internal/coordination/plan_state.go
@@ -25,6 +25,7 @@
 	capacityRequests []provisioning.CapacityRequest
 	allReconciled    bool // all machines have been reconciled at least once
 	fleetLoggedAt    micros.Time
+	limitLoggedAt    micros.Time
 
 	// The fields below belong to a single pass; begin resets them.
 
--- a/internal/coordination/planning.go
+++ b/internal/coordination/planning.go
@@ -93,8 +93,12 @@
 	add(p.headroomRequest())
 	p.placeLongWaiting(arrays, machines)
 	budget := maxTasksPerPlan
-	for _, r := range arrays {
+	for i, r := range arrays {
+		before := budget
 		add(p.placeArray(r, machines, &budget))
+		if budget == 0 && before > 0 {
+			p.logPlanLimit(r, before, arrays[i+1:])
+		}
 	}
 	return requests
 }
