Start what a planning pass leaves out where there is room, so that a huge array keeps nobody waiting

Cause: a pass places 2,000 array tasks in the order of the index. A task counts as placed when it has a slot, hours ahead too, so an array that ranks first and waits for one machine takes every pass whole.

Evidence: "planning pass reached its limit" says tasks_taken=2000 tasks_running=2 jobs_left_out=1 all the time. It isn't the preemption for objectives nor the machines: with the pass not ended, the four tasks start in the first one.

Change: the order and its limit stay. Arrays left out start tasks where one fits now without delaying one that has a slot; limits of their own, each array at most half of what is left, and the next pass goes on where one ended. That holds for any array before another, since who may start depends no longer on how many slots others hold. The machines examined are limited too, and the jobs that have waited 120 s take turns.

--- a/internal/coordination/fleet_log.go
+++ b/internal/coordination/fleet_log.go
@@ -1,6 +1,9 @@
 package coordination
 
 import (
+	"cmp"
+	"slices"
+
 	"pipitlatch/internal/coordination/messages"
 	"pipitlatch/internal/micros"
 )
@@ -79,21 +82,27 @@
 		"tasks_waiting", waiting)
 }
 
-// logPlanLimit logs that a planning pass reached its limit of tasks: the job that took the last of
-// them, how many it took, and the jobs that were left out.
-func (p *partitionLeader) logPlanLimit(last rankedJob, taken int, leftOut []rankedJob) {
-	if len(leftOut) == 0 || p.core.now-p.plan.limitLoggedAt < fleetLogInterval {
+// logPlanLimit logs that a planning pass reached a limit: the array that took most of it, the arrays that
+// were left out, and how many of their tasks started all the same.
+func (p *partitionLeader) logPlanLimit(placements []arrayPlacement, leftOut []*arrayPlacement, started int) {
+	if p.core.now-p.plan.limitLoggedAt < fleetLogInterval {
 		return
 	}
 	p.plan.limitLoggedAt = p.core.now
+	largest := slices.MaxFunc(placements, func(a, b arrayPlacement) int { return cmp.Compare(a.placed, b.placed) })
+	tasks := 0
+	for _, a := range leftOut {
+		tasks += a.left()
+	}
 	p.core.log(messages.LevelInfo, "planning pass reached its limit",
 		"partition", p.partition,
-		"job", last.job.ID,
-		"tasks_taken", taken,
-		"tasks_running", len(last.job.activeAttempts),
+		"largest_job", largest.job.ID,
+		"tasks_placed", largest.placed,
+		"tasks_running", len(largest.job.activeAttempts),
 		"jobs_left_out", len(leftOut),
 		"first_left_out", leftOut[0].job.ID,
-		"tasks_left_out", waitingTasks(leftOut))
+		"tasks_left_out", tasks,
+		"tasks_started", started)
 }
 
 // waitingTasks returns the number of pending tasks of the jobs.
--- a/internal/coordination/plan_state.go
+++ b/internal/coordination/plan_state.go
@@ -26,6 +26,8 @@
 	allReconciled    bool // all machines have been reconciled at least once
 	fleetLoggedAt    micros.Time
 	limitLoggedAt    micros.Time
+	longWaiting      roundRobin[rankedJob]
+	leftOut          roundRobin[*arrayPlacement]
 
 	// The fields below belong to a single pass; begin resets them.
 
--- a/internal/coordination/planning.go
+++ b/internal/coordination/planning.go
@@ -11,10 +11,6 @@
 	"pipitlatch/internal/workload"
 )
 
-// maxTasksPerPlan limits how many array tasks one planning pass places. The remaining tasks wait
-// in index order for the next pass.
-const maxTasksPerPlan = 2000
-
 // rankedJob is a job together with the data that determines its position in the queue.
 type rankedJob struct {
 	job    *job
@@ -91,15 +87,7 @@
 		add(p.placeService(r, machines))
 	}
 	add(p.headroomRequest())
-	p.placeLongWaiting(arrays, machines)
-	budget := maxTasksPerPlan
-	for i, r := range arrays {
-		before := budget
-		add(p.placeArray(r, machines, &budget))
-		if budget == 0 && before > 0 {
-			p.logPlanLimit(r, before, arrays[i+1:])
-		}
-	}
+	requests = append(requests, p.placeArrays(arrays, machines)...)
 	return requests
 }
 
@@ -177,68 +165,6 @@
 	return missing, true
 }
 
-// maxFirstTaskWait is how long a job may wait for its first task to start before that task is
-// placed ahead of the index order.
-const maxFirstTaskWait = 120 * micros.Second
-
-// placeLongWaiting places one task of each job that has waited longer than maxFirstTaskWait for
-// its first task to start, ahead of all other array tasks. This deviates from the scheduling
-// model (package scheduling, docs/design.md): the index ranks long overdue tasks behind all short
-// ones, so that under sustained load such a job would never start.
-func (p *partitionLeader) placeLongWaiting(arrays []rankedJob, machines []*scheduling.Machine) {
-	var late []rankedJob
-	for _, r := range arrays {
-		j := r.job
-		if p.core.wall-j.readySince > maxFirstTaskWait && len(j.activeAttempts) == 0 && j.completedCount() == 0 {
-			late = append(late, r)
-		}
-	}
-	slices.SortStableFunc(late, func(a, b rankedJob) int { return cmp.Compare(a.job.readySince, b.job.readySince) })
-	for _, r := range late {
-		budget := 1
-		p.placeArray(r, machines, &budget) // missing capacity is requested with the job's other tasks
-	}
-}
-
-// placeArray places as many of an array's pending tasks as the budget of this planning pass
-// allows, and preempts other work if the job would miss a service-level objective. It returns a
-// request for the capacity that is missing to meet the job's due date.
-func (p *partitionLeader) placeArray(
-	r rankedJob, machines []*scheduling.Machine, budget *int,
-) (missing provisioning.CapacityRequest, needed bool) {
-	j := r.job
-	now := p.core.now
-	allowed := p.quotaAllowance(j)
-	waiting := j.pendingTasks.Len()
-	count := min(waiting, allowed, *budget)
-	startBy, hasObjective := p.startDeadline(r)
-	boot := p.shortestBoot(j)
-	missObjective := 0 // tasks that would start after the objective's deadline
-	tardy := 0         // tasks that may end late and that a new machine could start earlier
-	placed := scheduling.Place(p.placementRequest(r, count), machines, func(s scheduling.Slot) {
-		if s.Machine.Up && s.Start <= now {
-			p.startTask(j, p.machines[s.Machine.Index], s.Length)
-			return
-		}
-		if s.Start > startBy {
-			missObjective++
-		}
-		// A machine requested now helps only tasks that would start after its boot. The
-		// factor of 1.5 requests it before the slot is certain to be late: slots are based on
-		// estimates, and machines requested only once these have proved too low arrive late by
-		// a boot time and the backlog that has built up.
-		if s.Start+s.Length*3/2 > r.queued.Due && s.Start > now+boot {
-			tardy++
-		}
-	})
-	*budget -= placed
-	if hasObjective {
-		p.preemptForObjective(r, missObjective+count-placed, startBy, anyTeam)
-		p.preemptForObjective(r, min(waiting-allowed, *budget), startBy, ownTeam)
-	}
-	return p.arrayCapacityRequest(r, min(waiting, allowed)-placed+tardy, boot)
-}
-
 // shortestBoot returns the shortest boot time of the instance types that can run the job's tasks;
 // micros.Max if there is none.
 func (p *partitionLeader) shortestBoot(j *job) micros.Time {
--- a/internal/coordination/scheduling/candidates.go
+++ b/internal/coordination/scheduling/candidates.go
@@ -66,7 +66,7 @@
 // betterByFreeCPU prefers the machine with less free CPU at the beginning of its timeline, then the
 // one that comes first in the caller's list.
 func betterByFreeCPU(a, b *Machine) bool {
-	aFree, bFree := a.Timeline.steps[0].free.CPU, b.Timeline.steps[0].free.CPU
+	aFree, bFree := a.FreeNow().CPU, b.FreeNow().CPU
 	if aFree != bFree {
 		return aFree < bFree
 	}
--- a/internal/coordination/scheduling/place.go
+++ b/internal/coordination/scheduling/place.go
@@ -21,6 +21,9 @@
 	LossRate float64           // expected losses per second of a machine of this kind
 }
 
+// FreeNow returns the resources that are free at the beginning of the machine's timeline.
+func (m *Machine) FreeNow() workload.Resources { return m.Timeline.steps[0].free }
+
 // Slot is the placement of one task on a machine.
 type Slot struct {
 	Machine   *Machine
@@ -41,6 +44,7 @@
 	Zone        string         // zone already in use by a single-zone job; empty: any
 	TasksByZone map[string]int // tasks of the job assigned to machines; updated by Place
 	PackLimit   int            // replicas at which a machine stops attracting further ones
+	StartNow    bool           // only slots that begin now, on machines that are up
 }
 
 // Place finds and reserves slots for the tasks one by one until all are placed or no machine has a
@@ -120,13 +124,16 @@
 		!j.Resources.Fits(m.Type.Capacity) {
 		return candidate{}
 	}
+	if r.StartNow && (!m.Up || !j.Resources.Fits(m.FreeNow())) {
+		return candidate{}
+	}
 	fetch := fetchTime(j, m)
 	length := Forever
 	if j.Kind == workload.Array {
 		length = fetch + micros.Time(float64(r.Estimate)*m.Slowness)
 	}
 	start, ok := m.Timeline.Gap(j.Resources, r.Now, length)
-	if !ok {
+	if !ok || (r.StartNow && start > r.Now) {
 		return candidate{}
 	}
 	c := candidate{slot: Slot{Machine: m, Start: start, Length: length}, ready: start + fetch, ok: true}
--- a/internal/coordination/scheduling/place_test.go
+++ b/internal/coordination/scheduling/place_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"testing"
 
 	"pipitlatch/internal/micros"
@@ -121,3 +122,39 @@
 		t.Error("no task was placed")
 	}
 }
+
+// TestPlaceStartNow checks that with StartNow only tasks that begin at once are placed, on machines that are
+// up, and that none of them delays a task that has a slot.
+func TestPlaceStartNow(t *testing.T) {
+	booting := newMachine(1, false, 0)
+	booting.Up = false
+	busy := newMachine(2, false, 5*s)
+	reserved := newMachine(3, false, 0)
+	reserved.Timeline.Reserve(cpuResources(8), 8*s, 10*s)
+	idle := newMachine(4, false, 0)
+	j := &workload.Job{Resources: cpuResources(4), Tasks: 9}
+	for _, c := range []struct {
+		name     string
+		estimate micros.Time
+		want     []int // machines
+	}{
+		{"as long as the gap before the slot", 8 * s, []int{3, 3, 4, 4}},
+		{"longer than the gap", 9 * s, []int{4, 4}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := &Request{Job: j, Weight: 2, Estimate: c.estimate, Due: 60 * s, Count: 9, TasksByZone: map[string]int{},
+				StartNow: true}
+			var got []int
+			Place(r, cloneMachines([]*Machine{booting, busy, reserved, idle}), func(slot Slot) {
+				got = append(got, slot.Machine.Index)
+				if slot.Start != 0 {
+					t.Errorf("slot on machine %d begins at %d", slot.Machine.Index, slot.Start)
+				}
+			})
+			slices.Sort(got)
+			if !slices.Equal(got, c.want) {
+				t.Errorf("tasks on machines %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/workload/resources.go
+++ b/internal/workload/resources.go
@@ -22,6 +22,16 @@
 	return Resources{r.CPU * n, r.GPU * n, r.Mem * n}
 }
 
+// Min returns the lesser amount of each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.CPU, o.CPU), min(r.GPU, o.GPU), min(r.Mem, o.Mem)}
+}
+
+// Max returns the greater amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.GPU, o.GPU), max(r.Mem, o.Mem)}
+}
+
 // Fits reports whether r fits into o.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPU <= o.CPU && r.GPU <= o.GPU && r.Mem <= o.Mem
