Limit the work for services in a planning pass, so that a huge one neither hangs nor starves others

Cause: for each replica without a slot, preemptFor examined every attempt of the fleet; a failed search was remembered only for jobs without such constraints. Services had no limit a pass at all.

Change: 2,000 replicas a pass, 2,000,000 machines examined for them and 400,000 for preemption; where that ends a pass, the next one begins at the first service that got nothing. Failed searches are remembered for all jobs, and machines to preempt on are kept in a heap for equal replicas, its top looked at again before use. Zones are counted once a service. The order of services stays as it was within the limits. TestZoneHasCapacity passes the counted zones, its cases are the same.

--- a/internal/coordination/array_placement.go
+++ b/internal/coordination/array_placement.go
@@ -39,7 +39,7 @@
 	for i, r := range arrays {
 		a := &placements[i]
 		a.rankedJob = r
-		a.waiting = min(r.job.pendingTasks.Len(), p.quotaAllowance(r.job))
+		a.waiting = p.allowedTasks(r.job)
 		if tasks <= 0 || searches <= 0 {
 			continue
 		}
@@ -68,7 +68,7 @@
 		if searches <= 0 {
 			return false
 		}
-		a := arrayPlacement{rankedJob: r, waiting: min(r.job.pendingTasks.Len(), p.quotaAllowance(r.job))}
+		a := arrayPlacement{rankedJob: r, waiting: p.allowedTasks(r.job)}
 		searches -= p.placeArray(&a, machines, 1) // missing capacity is requested with the job's other tasks
 		return true
 	})
--- a/internal/coordination/eligibility.go
+++ b/internal/coordination/eligibility.go
@@ -16,16 +16,21 @@
 	return scheduling.MayRunOn(j.Job, m.record.InstanceType, m.record.Zone, m.record.Spot)
 }
 
+// activeTasksByZone returns the number of the job's active tasks in each zone.
+func (j *job) activeTasksByZone() map[string]int {
+	byZone := map[string]int{}
+	for _, a := range j.activeAttempts {
+		byZone[a.machine.record.Zone]++
+	}
+	return byZone
+}
+
 // zoneHasCapacity reports whether the job's one-zone or spread constraint allows another task in a
 // zone, given its active tasks.
-func (j *job) zoneHasCapacity(zone string) bool {
-	there := 0
-	for _, a := range j.activeAttempts {
-		if a.machine.record.Zone == zone {
-			there++
-		} else if j.OneZone {
-			return false
-		}
+func (j *job) zoneHasCapacity(activeByZone map[string]int, zone string) bool {
+	there := activeByZone[zone]
+	if j.OneZone && there == 0 && len(activeByZone) > 0 {
+		return false
 	}
 	return !j.Spread || there < j.SpreadLimit()
 }
--- a/internal/coordination/plan_bench_test.go
+++ b/internal/coordination/plan_bench_test.go
@@ -89,3 +89,36 @@
 		b.Fatal("no capacity was requested")
 	}
 }
+
+// BenchmarkPlanHugeService measures one plan in which a service of 100,000 replicas, which are spread over zones,
+// preempts work of lower priority.
+func BenchmarkPlanHugeService(b *testing.B) {
+	forFleetSizes(b, func(b *testing.B, size int) {
+		b.ReportAllocs()
+		for b.Loop() {
+			b.StopTimer()
+			c := coreWithHugeService(b, size)
+			b.StartTimer()
+			c.partitions[0].schedule()
+		}
+	})
+}
+
+// coreWithHugeService returns a core on whose machines only arrays of low priority run, and a service waits.
+func coreWithHugeService(b *testing.B, size int) *Core {
+	b.Helper()
+	c, heartbeats := newLargeCore(b, size)
+	now := 2 * micros.Second
+	receiveHeartbeats(c, now, heartbeats)
+	c.now, c.wall, c.output = now, now, &messages.Output{}
+	j := hugeArray(workload.Resources{CPU: 250, Mem: 250})
+	j.Kind, j.Priority, j.Spread = workload.Service, workload.Production, true
+	submitWaiting(b, c, j)
+	p := c.partitions[0]
+	for _, m := range p.machines {
+		m.instanceType = c.catalog.Types()["m"]
+		m.contact.Reached(now)
+	}
+	p.plan.stale = true
+	return c
+}
--- a/internal/coordination/plan_state.go
+++ b/internal/coordination/plan_state.go
@@ -26,15 +26,21 @@
 	allReconciled    bool // all machines have been reconciled at least once
 	fleetLoggedAt    micros.Time
 	limitLoggedAt    micros.Time
+	services         roundRobin[*servicePlacement]
 	longWaiting      roundRobin[rankedJob]
 	leftOut          roundRobin[*arrayPlacement]
 
 	// The fields below belong to a single pass; begin resets them.
 
-	serviceReplicas   int                         // tasks of services, whether they run or not
-	unreconciledUsage workload.Resources          // upper bound of what runs on unreconciled machines
-	preemptionFailed  map[preemptionKey]bool      // no machine was found to preempt on
-	inheritedUrgency  map[string]inheritedUrgency // memoized by job ID
+	serviceReplicas   int                // tasks of services, whether they run or not
+	unreconciledUsage workload.Resources // upper bound of what runs on unreconciled machines
+	// preemptionFailed has the tasks for which no machine was found to preempt on.
+	preemptionFailed map[preemptionKey]bool
+	// preemptionCandidates has the machines to preempt on, for the replicas looked at so far.
+	preemptionCandidates map[preemptionCandidatesKey]*preemptionHeap
+	// preemptionSearches is how many more machines may be examined for work to preempt for services.
+	preemptionSearches int
+	inheritedUrgency   map[string]inheritedUrgency // memoized by job ID
 }
 
 // newPlanState returns the state of a new partition leader, which plans at once.
@@ -43,6 +49,8 @@
 		stale:            true,
 		interval:         minPlanInterval,
 		preemptionFailed: map[preemptionKey]bool{},
+
+		preemptionCandidates: map[preemptionCandidatesKey]*preemptionHeap{},
 	}
 }
 
@@ -58,6 +66,8 @@
 	s.serviceReplicas = 0
 	s.unreconciledUsage = workload.Resources{}
 	clear(s.preemptionFailed)
+	clear(s.preemptionCandidates)
+	s.preemptionSearches = maxPreemptionSearchesPerPlan
 	s.inheritedUrgency = nil
 }
 
--- a/internal/coordination/planning.go
+++ b/internal/coordination/planning.go
@@ -77,18 +77,11 @@
 // requests for the missing capacity.
 func (p *partitionLeader) place(services, arrays []rankedJob) []provisioning.CapacityRequest {
 	machines := p.buildTimelines()
-	var requests []provisioning.CapacityRequest
-	add := func(request provisioning.CapacityRequest, needed bool) {
-		if needed {
-			requests = append(requests, request)
-		}
-	}
-	for _, r := range services {
-		add(p.placeService(r, machines))
+	requests := p.placeServices(services, machines)
+	if request, needed := p.headroomRequest(); needed {
+		requests = append(requests, request)
 	}
-	add(p.headroomRequest())
-	requests = append(requests, p.placeArrays(arrays, machines)...)
-	return requests
+	return append(requests, p.placeArrays(arrays, machines)...)
 }
 
 // rankJobs returns the jobs that have startable tasks, in the order in which they are placed:
@@ -140,31 +133,6 @@
 	}}
 }
 
-// placeService places the pending replicas of a service and preempts work of lower priority for
-// replicas that cannot start now. The request for capacity that is still missing is urgent.
-func (p *partitionLeader) placeService(
-	r rankedJob, machines []*scheduling.Machine,
-) (missing provisioning.CapacityRequest, needed bool) {
-	j := r.job
-	count := min(j.pendingTasks.Len(), p.quotaAllowance(j))
-	placed := scheduling.Place(p.placementRequest(r, count), machines, func(s scheduling.Slot) {
-		m := p.machines[s.Machine.Index]
-		if s.Machine.Up && s.Start <= p.core.now && p.startTask(j, m, scheduling.Forever) {
-			return
-		}
-		p.preemptFor(j, s.Start)
-	})
-	for range count - placed {
-		p.preemptFor(j, micros.Max)
-	}
-	if placed == count {
-		return missing, false
-	}
-	missing = p.capacityRequest(j, count-placed)
-	missing.Urgent = true
-	return missing, true
-}
-
 // shortestBoot returns the shortest boot time of the instance types that can run the job's tasks;
 // micros.Max if there is none.
 func (p *partitionLeader) shortestBoot(j *job) micros.Time {
@@ -187,13 +155,12 @@
 		Due:         r.queued.Due,
 		Count:       count,
 		Now:         p.core.now,
-		TasksByZone: map[string]int{},
+		TasksByZone: j.activeTasksByZone(),
 		PackLimit:   p.packLimit(),
 	}
-	for _, a := range j.activeAttempts {
-		request.TasksByZone[a.machine.record.Zone]++
-		if j.OneZone {
-			request.Zone = a.machine.record.Zone
+	if j.OneZone {
+		for zone := range request.TasksByZone { // at most one
+			request.Zone = zone
 		}
 	}
 	return request
@@ -232,6 +199,11 @@
 	return int(j.Resources.Count(free))
 }
 
+// allowedTasks returns how many pending tasks of the job its team's quota limit allows to run.
+func (p *partitionLeader) allowedTasks(j *job) int {
+	return min(j.pendingTasks.Len(), p.quotaAllowance(j))
+}
+
 // startTask starts the job's next pending task on a machine. It reports whether it did: the task may
 // already have an active attempt, or the machine may not be schedulable.
 func (p *partitionLeader) startTask(j *job, m *machine, length micros.Time) bool {
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 
 	"pipitlatch/internal/coordination/messages"
-	"pipitlatch/internal/coordination/scheduling"
 	"pipitlatch/internal/micros"
 	"pipitlatch/internal/workload"
 )
@@ -20,15 +20,23 @@
 	imageFetchWeight = 20
 )
 
-// preemptionKey identifies tasks for which preemption has the same outcome, provided that they have
-// no other placement constraints.
+// preemptionKey identifies tasks for which preemption has the same outcome.
 type preemptionKey struct {
+	job       string // empty for all jobs without other placement constraints than those below
 	resources workload.Resources
 	priority  workload.Priority
 	zone      string
 	spot      bool
 }
 
+func newPreemptionKey(j *job) preemptionKey {
+	key := preemptionKey{resources: j.Resources, priority: j.Priority, zone: j.Zone, spot: j.Spot}
+	if len(j.InstanceTypes) > 0 || j.OneZone || j.Spread {
+		key.job = j.ID
+	}
+	return key
+}
+
 // preemption is the set of attempts to stop on a machine so that one task fits there.
 type preemption struct {
 	machine *machine
@@ -39,22 +47,23 @@
 // preemptFor stops work of lower priority to make room for a replica that would otherwise start
 // only at the given time, and starts the replica there. This deviates from the scheduling model,
 // which has no preemption: services must not wait for arrays.
-func (p *partitionLeader) preemptFor(j *job, until micros.Time) {
+func (p *partitionLeader) preemptFor(s *servicePlacement, until micros.Time) {
+	j := s.job
 	if until-p.core.now < minPreemptionGain || j.pendingTasks.Len() == 0 {
 		return
 	}
-	// If no machine was found for an equal replica in this pass, none is found for this one. Many
-	// equal replicas may be pending, and each search covers the whole fleet.
-	key := preemptionKey{j.Resources, j.Priority, j.Zone, j.Spot}
-	cacheable := len(j.InstanceTypes) == 0 && !j.OneZone && !j.Spread
-	if cacheable && p.plan.preemptionFailed[key] {
+	// If no machine was found for an equal replica in this pass, none is found for this one.
+	key := newPreemptionKey(j)
+	if p.plan.preemptionFailed[key] {
+		return
+	}
+	candidates, ok := p.preemptionCandidates(key, j)
+	if !ok {
 		return
 	}
-	best, found := p.cheapestPreemption(j)
+	best, found := p.cheapestPreemption(candidates, s)
 	if !found {
-		if cacheable {
-			p.plan.preemptionFailed[key] = true
-		}
+		p.plan.preemptionFailed[key] = true
 		return
 	}
 	checkpoints := false
@@ -68,21 +77,31 @@
 	if !checkpoints {
 		// Agents execute commands in order, so the victims are gone before the start. A victim
 		// that saves a checkpoint stays longer; then the replica starts in a later pass.
-		p.startTask(j, best.machine, scheduling.Forever)
+		p.startReplica(s, best.machine)
 	}
 }
 
-// cheapestPreemption returns the preemption of lowest cost that makes a task of the job fit.
-func (p *partitionLeader) cheapestPreemption(j *job) (best preemption, found bool) {
-	for _, m := range p.machines {
-		if !p.acceptsStarts(m) || !j.mayRunOn(m) || !j.zoneHasCapacity(m.record.Zone) {
-			continue
-		}
-		if on, enough := p.preemptionOn(m, j); enough && (!found || on.cost < best.cost) {
-			best, found = on, true
+// cheapestPreemption returns the preemption of lowest cost that makes a replica of the service fit. The
+// candidates' costs date from earlier in the pass, so that of the cheapest one is computed again.
+func (p *partitionLeader) cheapestPreemption(
+	candidates *preemptionHeap, s *servicePlacement,
+) (best preemption, found bool) {
+	j := s.job
+	for candidates.Len() > 0 {
+		cheapest := &(*candidates)[0]
+		m := cheapest.machine
+		on, enough := p.preemptionOn(m, j)
+		switch {
+		case !enough || !p.acceptsStarts(m) || !j.zoneHasCapacity(s.activeByZone, m.record.Zone):
+			heap.Pop(candidates)
+		case on.cost > cheapest.cost:
+			cheapest.cost = on.cost
+			heap.Fix(candidates, 0)
+		default:
+			return on, true
 		}
 	}
-	return best, found
+	return best, false
 }
 
 // preemptionOn returns the attempts of lower priority to stop on a machine so that a task of the
@@ -91,8 +110,7 @@
 	on.machine = m
 	free := m.instanceType.Capacity
 	var lower []*attempt
-	for _, id := range sortedAttempts(m) {
-		a := m.attempts[id]
+	for _, a := range m.attempts { // in any order: they are summed, or sorted below
 		if a.state == messages.Exited {
 			continue
 		}
@@ -102,7 +120,9 @@
 		}
 	}
 	// Attempts that lose the least work come first.
-	slices.SortStableFunc(lower, func(a, b *attempt) int { return cmp.Compare(p.lostWork(a), p.lostWork(b)) })
+	slices.SortFunc(lower, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(p.lostWork(a), p.lostWork(b)), a.id.Compare(b.id))
+	})
 	for _, a := range lower {
 		if j.Resources.Fits(free) {
 			break
--- a/internal/coordination/preemption_test.go
+++ b/internal/coordination/preemption_test.go
@@ -121,7 +121,7 @@
 			for task, zone := range c.active {
 				j.activeAttempts[task] = &attempt{machine: &machine{record: storage.Machine{Zone: zone}}}
 			}
-			if got := j.zoneHasCapacity("a"); got != c.want {
+			if got := j.zoneHasCapacity(j.activeTasksByZone(), "a"); got != c.want {
 				t.Errorf("got %v, want %v", got, c.want)
 			}
 		})
