Send capacity requests in turns if they are too many, so that unservable ones block no others

Cause: a status message takes 32 requests that differ; the first 32 in the order of the plan were sent in every message, the others dropped.

Change: the first 16 stay, the others take turns of 1.5 s, longer than a status message and a round of instance requests. Requests are merged by a map now, as their list is no longer cut at 32. A line "capacity requests take turns", every 10 s at most.

--- a/internal/coordination/capacity_requests.go
+++ b/internal/coordination/capacity_requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"pipitlatch/internal/coordination/provisioning"
 	"pipitlatch/internal/micros"
@@ -9,9 +10,14 @@
 )
 
 const (
-	// maxCapacityRequests limits the requests of one partition, because every status message to the
-	// cluster leader contains all of them.
+	// maxCapacityRequests limits the requests of one partition in a status message to the cluster leader.
 	maxCapacityRequests = 32
+	// leadingCapacityRequests is how many of them are the first ones in the order of the plan; the rest of
+	// the message is for the others in turns.
+	leadingCapacityRequests = maxCapacityRequests / 2
+	// capacityRequestTurn is how long a request remains in the message in its turn, so that the cluster
+	// leader acts on it: a status message and a round of instance requests take less.
+	capacityRequestTurn = 1500 * micros.Millisecond
 	// maxWaves limits how many tasks one slot of a requested machine is assumed to run one after
 	// another before the due date.
 	maxWaves = 4
@@ -23,7 +29,11 @@
 // setCapacityRequests replaces the requests that are sent to the cluster leader by those of a
 // planning pass.
 func (p *partitionLeader) setCapacityRequests(requests []provisioning.CapacityRequest) {
-	requests = mergeCapacityRequests(requests)
+	merged := mergeCapacityRequests(requests)
+	requests = p.plan.requestTurns.choose(merged, p.core.now)
+	if len(requests) < len(merged) {
+		p.logRequestTurns(len(merged))
+	}
 	if len(requests) > 0 && !slices.EqualFunc(requests, p.plan.capacityRequests, sameCapacityRequest) {
 		p.core.status.soon = true // send them without waiting for the next regular status
 	}
@@ -67,25 +77,71 @@
 	return a.Count == b.Count && a.Resources == b.Resources && a.Service == b.Service && a.Urgent == b.Urgent
 }
 
-// sameCapacity reports whether two requests ask for the same kind of capacity.
-func sameCapacity(a, b *provisioning.CapacityRequest) bool {
-	return a.Resources == b.Resources && a.Spot == b.Spot && a.Zone == b.Zone && a.Service == b.Service &&
-		a.Urgent == b.Urgent && slices.Equal(a.InstanceTypes, b.InstanceTypes)
+// capacityKind is what requests have in common that can be served together.
+type capacityKind struct {
+	resources     workload.Resources
+	spot          bool
+	zone          string
+	service       bool
+	urgent        bool
+	instanceTypes string
+}
+
+func capacityKindOf(r *provisioning.CapacityRequest) capacityKind {
+	return capacityKind{
+		resources:     r.Resources,
+		spot:          r.Spot,
+		zone:          r.Zone,
+		service:       r.Service,
+		urgent:        r.Urgent,
+		instanceTypes: strings.Join(r.InstanceTypes, "\x00"),
+	}
 }
 
 // mergeCapacityRequests adds up the counts of requests for the same capacity, in order of first
-// occurrence. Requests beyond maxCapacityRequests are dropped.
+// occurrence.
 func mergeCapacityRequests(requests []provisioning.CapacityRequest) []provisioning.CapacityRequest {
 	var merged []provisioning.CapacityRequest
+	position := map[capacityKind]int{}
 	for i := range requests {
-		same := slices.IndexFunc(merged, func(m provisioning.CapacityRequest) bool {
-			return sameCapacity(&m, &requests[i])
-		})
-		if same >= 0 {
+		kind := capacityKindOf(&requests[i])
+		if same, ok := position[kind]; ok {
 			merged[same].Count += requests[i].Count
-		} else if len(merged) < maxCapacityRequests {
-			merged = append(merged, requests[i])
+			continue
 		}
+		position[kind] = len(merged)
+		merged = append(merged, requests[i])
 	}
 	return merged
 }
+
+// requestTurns chooses the capacity requests of a status message if there are more than fit. Requests that the
+// cloud cannot serve remain for as long as their jobs wait, so those behind them take turns: otherwise
+// the cluster leader would never learn of them.
+type requestTurns struct {
+	next    int // position of the first request of the present turn among those that take turns
+	beganAt micros.Time
+}
+
+// choose returns all requests if they fit into a message. Otherwise it returns the leading ones, and of the
+// others those whose turn it is.
+func (t *requestTurns) choose(requests []provisioning.CapacityRequest, now micros.Time) []provisioning.CapacityRequest {
+	if len(requests) <= maxCapacityRequests {
+		*t = requestTurns{beganAt: now}
+		return requests
+	}
+	const inTurn = maxCapacityRequests - leadingCapacityRequests
+	if now-t.beganAt >= capacityRequestTurn {
+		t.next += inTurn
+		t.beganAt = now
+	}
+	chosen := slices.Clone(requests[:leadingCapacityRequests])
+	others := requests[leadingCapacityRequests:]
+	if t.next >= len(others) {
+		t.next = 0
+	}
+	for i := range inTurn {
+		chosen = append(chosen, others[(t.next+i)%len(others)])
+	}
+	return chosen
+}
--- a/internal/coordination/fleet_log.go
+++ b/internal/coordination/fleet_log.go
@@ -105,6 +105,18 @@
 		"tasks_started", started)
 }
 
+// logRequestTurns logs that there are more different capacity requests than one status message takes.
+func (p *partitionLeader) logRequestTurns(requests int) {
+	if p.core.now-p.plan.turnsLoggedAt < fleetLogInterval {
+		return
+	}
+	p.plan.turnsLoggedAt = p.core.now
+	p.core.log(messages.LevelInfo, "capacity requests take turns",
+		"partition", p.partition,
+		"requests", requests,
+		"in_message", maxCapacityRequests)
+}
+
 // waitingTasks returns the number of pending tasks of the jobs.
 func waitingTasks(jobs []rankedJob) int {
 	n := 0
--- a/internal/coordination/plan_state.go
+++ b/internal/coordination/plan_state.go
@@ -23,6 +23,8 @@
 	lastRunAt        micros.Time
 	interval         micros.Time // minimum time between the last pass and the next
 	capacityRequests []provisioning.CapacityRequest
+	requestTurns     requestTurns
+	turnsLoggedAt    micros.Time
 	allReconciled    bool // all machines have been reconciled at least once
 	fleetLoggedAt    micros.Time
 	limitLoggedAt    micros.Time
