Apply all changes of a transaction before reporting any, so that a split block loses no machine

Cause: a record too large for the limits to come is split by its next change, in one transaction. The partition leader was told of the shortened block before the new one was applied; in between its machines were in no block, so their tasks were queued again and the machines then added as empty.

Change: the copy of the store applies all items of one revision, which the protocol gives to one transaction only, and then reports each.

--- a/internal/coordination/replication/replica.go
+++ b/internal/coordination/replication/replica.go
@@ -30,7 +30,7 @@
 	// SnapshotInstalled is called after a new cache has replaced the previous one. The changes
 	// between the two are unknown. sent is the time at which the last page was requested.
 	SnapshotInstalled(previous *storage.Cache, sent micros.Time)
-	// Changed is called for each change, after it has been applied to the cache.
+	// Changed is called for each change, after all changes of its transaction have been applied to the cache.
 	Changed(change storage.Change, item storage.Item)
 	// AdmissionChanged is called if a batch changed the record of the admission epoch, after all
 	// changes of that batch. sent is the time at which the watch was sent.
--- a/internal/coordination/replication/watch.go
+++ b/internal/coordination/replication/watch.go
@@ -64,6 +64,35 @@
 // lease only through the change stream, so it sees both in the order in which they happened.
 func (r *Replica) applyChanges(items []storage.Item, sent micros.Time) {
 	admissionRevision := r.cache.Admission.ModRevision
+	for len(items) > 0 {
+		end := transactionEnd(items)
+		r.applyTransaction(items[:end])
+		items = items[end:]
+	}
+	if r.cache.Admission.ModRevision != admissionRevision {
+		r.observer.AdmissionChanged(sent)
+	}
+	r.observer.ChangesApplied()
+}
+
+// transactionEnd returns the number of leading items that belong to one transaction: all its changes have
+// the same revision.
+func transactionEnd(items []storage.Item) int {
+	end := 1
+	for end < len(items) && items[end].ModRevision == items[0].ModRevision {
+		end++
+	}
+	return end
+}
+
+// applyTransaction applies all changes of a transaction to the cache before the observer is notified of any.
+// In between, the cache may show what was never true: a machine that moves to another block in neither.
+func (r *Replica) applyTransaction(items []storage.Item) {
+	type appliedChange struct {
+		change storage.Change
+		item   storage.Item
+	}
+	var applied []appliedChange
 	for _, item := range items {
 		change, changed, err := r.cache.Apply(item)
 		if err != nil {
@@ -71,11 +100,10 @@
 			continue
 		}
 		if changed {
-			r.observer.Changed(change, item)
+			applied = append(applied, appliedChange{change, item})
 		}
 	}
-	if r.cache.Admission.ModRevision != admissionRevision {
-		r.observer.AdmissionChanged(sent)
+	for _, a := range applied {
+		r.observer.Changed(a.change, a.item)
 	}
-	r.observer.ChangesApplied()
 }
