Check a replica's zone against the active ones, so that a spread service stays spread

Cause: the plan counts a replica in the zone of its slot; if the slot begins later, preemptFor starts it at once, in whatever zone is allowed. The next replica was started by the plan's count, not by what is active.

Evidence: on both cases of replica_started_before_slot.txt break wrong_place: "3 of 3 tasks in b" for a spread service, "starts in a, others are in b" for one that stays in one zone.

Change: each start of a replica checks its zone against the replicas that are active, with those that the pass has started. One that may not start there waits for the next pass.

--- a/internal/coordination/service_placement.go
+++ b/internal/coordination/service_placement.go
@@ -66,8 +66,13 @@
 	return len(machines)
 }
 
-// startReplica starts the next pending replica of a service on a machine. It reports whether it did.
+// startReplica starts the next pending replica of a service on a machine. It reports whether it did. The
+// zone is checked against the replicas that are active: preemptFor may have started one in another zone
+// than that of its slot.
 func (p *partitionLeader) startReplica(s *servicePlacement, m *machine) bool {
+	if !s.job.zoneHasCapacity(s.activeByZone, m.record.Zone) {
+		return false
+	}
 	if !p.startTask(s.job, m, scheduling.Forever) {
 		return false
 	}
