End the quarantine of a machine when the jobs that failed on it prove to be at fault

Cause: the job failed twice on one machine first, which was quarantined; that it then failed on the other, too, showed the job at fault, but nothing ends that drain.

Change: the tracker keeps for whose failures a machine was quarantined. Once all those jobs are known to fail elsewhere, or ended without a completed task, a machine with active tasks takes tasks again; one without is terminated as before, as the cluster leader may have been told to. A job that completed tasks elsewhere goes on speaking against the machine. A line "machine recovered".

--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -92,6 +92,16 @@
 	return true
 }
 
+// hasActiveAttempts reports whether any attempt on the machine has not exited.
+func (m *machine) hasActiveAttempts() bool {
+	for _, a := range m.attempts {
+		if a.state != messages.Exited {
+			return true
+		}
+	}
+	return false
+}
+
 // transferable reports whether the machine can be moved to another partition: it is terminable, and no
 // start command may still arrive late, since the leader of the other partition would not know of it.
 func (p *partitionLeader) transferable(m *machine) bool {
--- a/internal/coordination/machine_health.go
+++ b/internal/coordination/machine_health.go
@@ -38,9 +38,13 @@
 	if m.drain.reason == notDraining {
 		if reason := p.reasonToDrain(m, silence); reason != notDraining {
 			p.startDrain(m, reason)
+			if reason == drainQuarantined {
+				p.core.faults.Quarantined(m.id)
+			}
 		}
 	}
 	if p.recovered(m, silence) {
+		p.core.log(messages.LevelInfo, "machine recovered", "machine", m.id, "reason", m.drain.reason)
 		m.drain.reason = notDraining
 		p.plan.stale = true
 	}
@@ -177,9 +181,14 @@
 	return false
 }
 
-// recovered reports whether a machine that is draining as unresponsive is in contact again before it
-// was terminated.
+// recovered reports whether the reason for which a machine drains has turned out not to hold, before the
+// machine was terminated: an unresponsive machine is in contact again, or the tasks that failed on a
+// quarantined one belong to jobs that fail everywhere. A quarantined machine without active tasks is
+// terminated all the same, since the cluster leader may have been told to.
 func (p *partitionLeader) recovered(m *machine, silence micros.Time) bool {
+	if m.drain.reason == drainQuarantined {
+		return p.core.faults.Exonerated(m.id) && m.hasActiveAttempts()
+	}
 	return m.drain.reason == drainUnresponsive &&
 		silence < recoverySilence &&
 		m.agent.Usable(p.lease.fencingToken)
--- a/internal/coordination/provisioning/faults.go
+++ b/internal/coordination/provisioning/faults.go
@@ -13,6 +13,9 @@
 	byMachine map[string]map[string]int // failures by machine and job since the machine's last success
 	byJob     map[string]map[string]int // failures by job and machine
 	completed map[string]int            // completed tasks by job
+	// blamed has, by machine, the jobs for whose failures a machine was quarantined and that are not known to be
+	// at fault themselves.
+	blamed map[string]map[string]bool
 }
 
 // NewFaultTracker returns a tracker without failures.
@@ -21,6 +24,7 @@
 		byMachine: map[string]map[string]int{},
 		byJob:     map[string]map[string]int{},
 		completed: map[string]int{},
+		blamed:    map[string]map[string]bool{},
 	}
 }
 
@@ -60,6 +64,27 @@
 	return failures >= machineFaultFailures
 }
 
+// Quarantined records that a machine is quarantined for the failures on it so far.
+func (t *FaultTracker) Quarantined(machine string) {
+	jobs := map[string]bool{}
+	for job := range t.byMachine[machine] {
+		jobs[job] = true
+	}
+	t.blamed[machine] = jobs
+}
+
+// Exonerated reports whether all jobs for whose failures a machine was quarantined are now considered faulty,
+// or ended without a completed task: then nothing shows that the machine is faulty.
+func (t *FaultTracker) Exonerated(machine string) bool {
+	jobs, quarantined := t.blamed[machine]
+	for job := range jobs {
+		if !t.JobAtFault(job) {
+			return false
+		}
+	}
+	return quarantined
+}
+
 // Failures returns the number of failures of the job's tasks.
 func (t *FaultTracker) Failures(job string) int {
 	failures := 0
@@ -70,10 +95,19 @@
 }
 
 // ForgetMachine removes the failures recorded for a machine, once it no longer exists.
-func (t *FaultTracker) ForgetMachine(machine string) { delete(t.byMachine, machine) }
+func (t *FaultTracker) ForgetMachine(machine string) {
+	delete(t.byMachine, machine)
+	delete(t.blamed, machine)
+}
 
-// ForgetJob removes the results recorded for a job, once it has ended.
+// ForgetJob removes the results recorded for a job, once it has ended. A quarantined machine remains blamed for
+// a job that completed tasks elsewhere.
 func (t *FaultTracker) ForgetJob(job string) {
+	if t.completed[job] == 0 {
+		for _, jobs := range t.blamed {
+			delete(jobs, job)
+		}
+	}
 	delete(t.byJob, job)
 	delete(t.completed, job)
 	for _, jobs := range t.byMachine {
--- a/internal/coordination/provisioning/faults_test.go
+++ b/internal/coordination/provisioning/faults_test.go
@@ -14,6 +14,12 @@
 // trackerOf returns a tracker that has recorded the given outcomes.
 func trackerOf(ends ...taskEnd) *FaultTracker {
 	tracker := NewFaultTracker()
+	record(tracker, ends)
+	return tracker
+}
+
+// record records outcomes.
+func record(tracker *FaultTracker, ends []taskEnd) {
 	for _, end := range ends {
 		if end.succeeded {
 			tracker.Succeeded(end.machine, end.job)
@@ -21,7 +27,6 @@
 			tracker.Failed(end.machine, end.job)
 		}
 	}
-	return tracker
 }
 
 var faultCases = []struct {
@@ -102,3 +107,47 @@
 		t.Error("a success before the job was forgotten still counts")
 	}
 }
+
+// TestExonerated checks when a machine that was quarantined after the first outcomes is exonerated by the later
+// ones.
+func TestExonerated(t *testing.T) {
+	twice := []taskEnd{failed("m", "j"), failed("m", "j")}
+	for _, test := range []struct {
+		name   string
+		before []taskEnd // the quarantine
+		after  []taskEnd
+		forget []string // jobs that end after that
+		want   bool
+	}{
+		{name: "nothing new", before: twice},
+		{name: "the job fails on another machine too", before: twice, after: []taskEnd{failed("n", "j")}, want: true},
+		{name: "the job fails on another machine and completes on a third", before: twice,
+			after: []taskEnd{failed("n", "j"), succeeded("o", "j")}},
+		{name: "the job ends without a completed task", before: twice, forget: []string{"j"}, want: true},
+		{name: "the job ends after completing elsewhere", before: twice, after: []taskEnd{succeeded("n", "j")},
+			forget: []string{"j"}},
+		{name: "one of two jobs fails on another machine too",
+			before: []taskEnd{failed("m", "j"), failed("m", "k")}, after: []taskEnd{failed("n", "j")}},
+		{name: "both jobs fail on another machine too", before: []taskEnd{failed("m", "j"), failed("m", "k")},
+			after: []taskEnd{failed("n", "j"), failed("n", "k")}, want: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tracker := trackerOf(test.before...)
+			if tracker.Exonerated("m") {
+				t.Error("exonerated before it was quarantined")
+			}
+			tracker.Quarantined("m")
+			record(tracker, test.after)
+			for _, job := range test.forget {
+				tracker.ForgetJob(job)
+			}
+			if got := tracker.Exonerated("m"); got != test.want {
+				t.Errorf("exonerated %v, want %v", got, test.want)
+			}
+			tracker.ForgetMachine("m")
+			if tracker.Exonerated("m") {
+				t.Error("exonerated after it is gone")
+			}
+		})
+	}
+}
