Limit preemption for objectives in a planning pass, and start left-out tasks in free room only

Cause: preemptForObjective examines the fleet for each array that would miss an objective, also for those whose team is at its limit, which use up none of the pass's other limits: 10,000 such jobs are as many looks at 4,000 machines. And a task started in the place of others is not on the plan's timelines, so that the round for left-out arrays could have taken its room for free.

Change: 400,000 machines a pass for that preemption, beyond it the arrays wait in their order; no turns, since it only makes work begin sooner. Left-out tasks start only where the machine's attempts leave room.

Tests: TestPreemptionForObjectivesIsLimited.

--- a/internal/coordination/array_placement.go
+++ b/internal/coordination/array_placement.go
@@ -156,7 +156,10 @@
 	request := p.placementRequest(a.rankedJob, count)
 	request.StartNow = true
 	placed := scheduling.Place(request, machines, func(s scheduling.Slot) {
-		p.startTask(a.job, p.machines[s.Machine.Index], s.Length)
+		// Tasks that were started in place of others in this pass are not on the timelines.
+		if m := p.machines[s.Machine.Index]; a.job.Resources.Fits(m.freeResources()) {
+			p.startTask(a.job, m, s.Length)
+		}
 	})
 	a.placed += placed
 	return placed
--- a/internal/coordination/objective_preemption.go
+++ b/internal/coordination/objective_preemption.go
@@ -62,9 +62,10 @@
 // most once, so that none is delayed indefinitely.
 func (p *partitionLeader) preemptForObjective(r rankedJob, missing int, startBy micros.Time, scope preemptionScope) {
 	j := r.job
-	if missing <= 0 || startBy <= p.core.now || j.OneZone || j.Spread {
+	if missing <= 0 || startBy <= p.core.now || j.OneZone || j.Spread || p.plan.objectiveSearches <= 0 {
 		return
 	}
+	p.plan.objectiveSearches -= len(p.machines)
 	borrowed := map[string]int64{}
 	for name, t := range p.core.teams {
 		borrowed[name] = p.teamUsage[name].CPU - t.GuaranteeCPU
--- a/internal/coordination/objective_preemption_test.go
+++ b/internal/coordination/objective_preemption_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pipitlatch/internal/coordination/messages"
+	"pipitlatch/internal/micros"
+	"pipitlatch/internal/storage"
 	"pipitlatch/internal/workload"
 )
 
@@ -85,3 +87,37 @@
 		})
 	}
 }
+
+// TestPreemptionForObjectivesIsLimited checks that work is stopped for an array that would miss its objective only
+// as long as the planning pass may examine machines for it.
+func TestPreemptionForObjectivesIsLimited(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		searches int
+		want     int // tasks started
+	}{
+		{"nothing left of the limit", 0, 0},
+		{"something left", 1, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core, heartbeats := newLargeCore(t, machinesPerBlock)
+			now := 2 * micros.Second
+			receiveHeartbeats(core, now, heartbeats)
+			p := core.partitions[0]
+			p.plan.begin(now)
+			p.plan.objectiveSearches = c.searches
+			for _, m := range p.machines {
+				m.instanceType = core.catalog.Types()["m"]
+				m.contact.Reached(now)
+			}
+			urgent := newJob(&storage.JobEntry{Job: &workload.Job{
+				ID: "wk-900000", Team: "alpha", Tasks: 2, Priority: workload.Production, Image: "i",
+				Resources: workload.Resources{CPU: 4000, Mem: 4000}, Estimate: 60 * micros.Second,
+			}})
+			p.preemptForObjective(p.rank(urgent), 2, now+micros.Second, anyTeam)
+			if got := len(urgent.activeAttempts); got != c.want {
+				t.Errorf("%d tasks started, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/coordination/plan_limits.go
+++ b/internal/coordination/plan_limits.go
@@ -14,6 +14,9 @@
 	// maxSearchesPerPlan limits the machines examined for arrays, summed over the arrays. It applies
 	// to each of the three rounds of a pass: long waiting arrays, the order, and what that left out.
 	maxSearchesPerPlan = 400_000
+	// maxObjectiveSearchesPerPlan limits the machines examined for work to stop for arrays that would miss an
+	// objective, summed over the arrays.
+	maxObjectiveSearchesPerPlan = 400_000
 	// maxReplicasPerPlan limits how many service replicas are placed, those that start and those that get a
 	// later slot.
 	maxReplicasPerPlan = 2000
--- a/internal/coordination/plan_state.go
+++ b/internal/coordination/plan_state.go
@@ -42,7 +42,9 @@
 	preemptionCandidates map[preemptionCandidatesKey]*preemptionHeap
 	// preemptionSearches is how many more machines may be examined for work to preempt for services.
 	preemptionSearches int
-	inheritedUrgency   map[string]inheritedUrgency // memoized by job ID
+	// objectiveSearches is the same for arrays that would miss an objective.
+	objectiveSearches int
+	inheritedUrgency  map[string]inheritedUrgency // memoized by job ID
 }
 
 // newPlanState returns the state of a new partition leader, which plans at once.
@@ -70,6 +72,7 @@
 	clear(s.preemptionFailed)
 	clear(s.preemptionCandidates)
 	s.preemptionSearches = maxPreemptionSearchesPerPlan
+	s.objectiveSearches = maxObjectiveSearchesPerPlan
 	s.inheritedUrgency = nil
 }
 
