--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -188,6 +188,15 @@
 	for _, m := range p.machines {
 		m.instanceType = c.catalog.Types()["m"]
 	}
+	planInLoop(b, c, now)
+	if len(p.buildTimelines()) != size || len(p.plan.capacityRequests) == 0 {
+		b.Fatal("not all machines have a timeline, or no capacity was requested")
+	}
+}
+
+// planInLoop measures successive planning passes from the given time on. All machines are in contact.
+func planInLoop(b *testing.B, c *Core, now micros.Time) {
+	p := c.partitions[0]
 	for b.Loop() {
 		now += minPlanInterval
 		for _, m := range p.machines {
@@ -197,9 +206,6 @@
 		p.plan.stale = true
 		p.schedule()
 	}
-	if len(p.buildTimelines()) != size || len(p.plan.capacityRequests) == 0 {
-		b.Fatal("not all machines have a timeline, or no capacity was requested")
-	}
 }
 
 // BenchmarkPoll measures the lookup of an active job, including its linearizable read.
--- a/internal/coordination/plan_bench_test.go
+++ b/internal/coordination/plan_bench_test.go
@@ -76,15 +76,7 @@
 		m.instanceType = c.catalog.Types()["m"]
 	}
 	b.ReportAllocs()
-	for b.Loop() {
-		now += minPlanInterval
-		for _, m := range p.machines {
-			m.contact.Reached(now)
-		}
-		c.now, c.wall, c.output = now, now, &messages.Output{}
-		p.plan.stale = true
-		p.schedule()
-	}
+	planInLoop(b, c, now)
 	if len(p.plan.capacityRequests) == 0 {
 		b.Fatal("no capacity was requested")
 	}
