Log and count the commands sent to agents, with what allows them

New lines: "commands sent" (path, commands, fencing token, agent epoch, acknowledged token, revision read and its age), "commands rejected", "task stop ordered" with its reason, "fencing token renewed", "start command executed again"; "partition leadership acquired" names the revision and the former leaders. GET /metrics (prometheus/client_golang) has the counts, the revision, and who leads under which token. The number of an attempt is built and read in one place.

TestPartitionLeadershipFollowsChangeStream expects the new line as well.

--- a/internal/coordination/agent_calls.go
+++ b/internal/coordination/agent_calls.go
@@ -106,6 +106,8 @@
 	position   agents.Position // of the newest heartbeat when the call was sent
 	sentAt     micros.Time
 	statusOnly bool // only asks for a heartbeat, without a fencing token
+
+	fencingToken uint64
 }
 
 // callAgent sends commands to a machine's agent, or asks it for a heartbeat.
@@ -117,12 +119,15 @@
 		position:   m.agent.Position(),
 		sentAt:     p.core.now,
 		statusOnly: statusOnly,
+
+		fencingToken: p.lease.fencingToken,
 	}
+	p.logCommands(m, pathCall, call.fencingToken, batch)
 	m.commands.CallStarted()
 	p.core.callAgent(messages.AgentCall{
 		Machine:      m.id,
 		Address:      m.address,
-		FencingToken: p.lease.fencingToken,
+		FencingToken: call.fencingToken,
 		AgentEpoch:   call.position.Epoch,
 		Commands:     batch,
 		StatusOnly:   statusOnly,
@@ -142,6 +147,9 @@
 		heartbeat = nil // the address now belongs to another machine
 		m.address = ""
 	}
+	if heartbeat != nil && !reply.Executed && len(c.batch) > 0 {
+		c.logRejectedCall(heartbeat)
+	}
 	c.recordStartReplies(heartbeat != nil)
 	switch {
 	case heartbeat == nil:
@@ -149,6 +157,7 @@
 	case !c.position.Before(heartbeat):
 		// The agent replied after the call was sent, but its position is not newer than the one known
 		// before: the agent has restarted.
+		p.logStartsAfterRestart(m, heartbeat)
 		p.drainRestarted(m)
 	default:
 		m.contact.Reached(p.core.now)
--- a/internal/coordination/agents/heartbeat_state.go
+++ b/internal/coordination/agents/heartbeat_state.go
@@ -59,6 +59,9 @@
 // commands with this token and rejects those with a lower one.
 func (s *HeartbeatState) Acknowledged(token uint64) bool { return s.ackedToken == token }
 
+// AcknowledgedToken returns the fencing token of the newest heartbeat; 0 if there is none in this epoch.
+func (s *HeartbeatState) AcknowledgedToken() uint64 { return s.ackedToken }
+
 // Reconciled reports whether the agent's tasks are known, or it is certain to have none.
 func (s *HeartbeatState) Reconciled() bool { return s.reconciled }
 
--- a/internal/coordination/attempt.go
+++ b/internal/coordination/attempt.go
@@ -36,11 +36,25 @@
 // stopState tracks the orders to stop an attempt.
 type stopState struct {
 	ordered      bool
+	reason       stopReason
 	gracePeriod  micros.Time
 	orderedAt    micros.Time // when the stop was first ordered
 	killDeadline micros.Time // by when an attempt of a cancelled job must be confirmed as gone; 0: none
 }
 
+// stopReason says why an attempt is stopped, as it appears in the log.
+type stopReason string
+
+const (
+	reasonCancelled     stopReason = "job cancelled"
+	reasonJobInactive   stopReason = "job not active in this partition"
+	reasonDuplicate     stopReason = "duplicate attempt"
+	reasonTaskCompleted stopReason = "task already completed"
+	reasonPreempted     stopReason = "preempted"
+	reasonInstanceTaken stopReason = "preemption notice of the instance"
+	reasonReplicaMoved  stopReason = "replica moved"
+)
+
 // index adds an attempt to the indexes of its machine and its job. The index by job avoids a scan of
 // all machines of the fleet for operations on one job.
 func (a *attempt) index() {
@@ -111,7 +125,7 @@
 
 // stopAttempt orders an attempt to stop within a grace period. Repeated calls only ever shorten the
 // grace period. An attempt whose start command was not sent yet is revoked.
-func (p *partitionLeader) stopAttempt(a *attempt, gracePeriod micros.Time) {
+func (p *partitionLeader) stopAttempt(a *attempt, reason stopReason, gracePeriod micros.Time) {
 	if a.state == messages.Exited || (a.stop.ordered && a.stop.gracePeriod <= gracePeriod) {
 		return
 	}
@@ -119,7 +133,9 @@
 		p.revoke(a)
 		return
 	}
-	a.stop.ordered, a.stop.gracePeriod = true, gracePeriod
+	a.stop.ordered, a.stop.reason, a.stop.gracePeriod = true, reason, gracePeriod
+	p.core.log(messages.LevelInfo, "task stop ordered",
+		"machine", a.machine.id, "attempt", a.id, "reason", string(reason))
 	if a.stop.orderedAt == 0 {
 		a.stop.orderedAt = p.core.now
 	}
--- a/internal/coordination/attempt_test.go
+++ b/internal/coordination/attempt_test.go
@@ -73,7 +73,7 @@
 			a := f.startActive(1, true)
 			first := f.leader.core.now
 			for _, gracePeriod := range test.gracePeriods {
-				f.leader.stopAttempt(a, gracePeriod)
+				f.leader.stopAttempt(a, reasonPreempted, gracePeriod)
 				f.leader.core.now += micros.Second
 			}
 			var want []messages.Command
@@ -97,7 +97,7 @@
 	f := newAttemptFixture()
 	a := f.startActive(1, true)
 	f.leader.release(a)
-	f.leader.stopAttempt(a, 0)
+	f.leader.stopAttempt(a, reasonPreempted, 0)
 	if commands := f.takeCommands(); len(commands) > 0 || a.stop.ordered {
 		t.Errorf("commands %+v, stop ordered %v, want none", commands, a.stop.ordered)
 	}
@@ -107,7 +107,7 @@
 	f := newAttemptFixture()
 	kept := f.startActive(0, false)
 	a := f.startActive(1, false)
-	f.leader.stopAttempt(a, 0)
+	f.leader.stopAttempt(a, reasonPreempted, 0)
 	if commands := f.takeCommands(); len(commands) != 1 || commands[0].AttemptID != kept.id {
 		t.Errorf("commands %+v, want only the start of %+v", commands, kept.id)
 	}
--- a/internal/coordination/consolidation.go
+++ b/internal/coordination/consolidation.go
@@ -104,7 +104,7 @@
 		takes := func(o *machine) bool { return p.canTakeReplica(o, a, withoutImage) }
 		if slices.ContainsFunc(p.machines, takes) {
 			p.consolidation.replicaMovedAt = p.core.now
-			p.stopAttempt(a, a.job.CheckpointDuration)
+			p.stopAttempt(a, reasonReplicaMoved, a.job.CheckpointDuration)
 			return
 		}
 		unplaceable[a.job.ID] = true
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -44,6 +44,7 @@
 	fleet
 	fairAdmission *fairAdmission // nil if fair admission is disabled
 	leader        *clusterleader.Leader
+	metrics       messages.Metrics // its counters; Metrics adds the gauges
 }
 
 // identity is the identity and the configuration of this controller.
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -135,6 +135,7 @@
 	var commands []messages.Command
 	if newer {
 		commands = p.commandsFor(m)
+		p.logCommands(m, pathReply, p.lease.fencingToken, commands)
 	}
 	p.core.respond(messages.Response{
 		Request:      request,
@@ -161,6 +162,7 @@
 		return
 	}
 	if m.agent.ShowsRestart(h, p.lease.acquiredToken) {
+		p.logStartsAfterRestart(m, h)
 		p.drainRestarted(m)
 		return
 	}
--- a/internal/coordination/kill.go
+++ b/internal/coordination/kill.go
@@ -33,7 +33,7 @@
 	if a.state == messages.Exited {
 		return
 	}
-	p.stopAttempt(a, 0)
+	p.stopAttempt(a, reasonCancelled, 0)
 	if a.state == messages.Exited || a.stop.killDeadline != 0 {
 		return // its start had not been sent, or it already has a deadline
 	}
--- a/internal/coordination/messages/agents.go
+++ b/internal/coordination/messages/agents.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"strings"
 
 	"pipitlatch/internal/micros"
 )
@@ -68,6 +70,9 @@
 	)
 }
 
+// String returns the attempt as written to the log, for example "wk-000412/3@644874491".
+func (id AttemptID) String() string { return fmt.Sprintf("%s/%d@%d", id.Job, id.Task, id.Number) }
+
 // TaskStatus is the part of a heartbeat that describes one attempt.
 type TaskStatus struct {
 	AttemptID
@@ -102,9 +107,37 @@
 	Forget           // removes an exited attempt from the heartbeats
 )
 
+// String returns the operation as written to the log.
+func (o Operation) String() string {
+	switch o {
+	case Start:
+		return "start"
+	case Stop:
+		return "stop"
+	case Forget:
+		return "forget"
+	}
+	return "unknown operation"
+}
+
 // Command is a command to an agent.
 type Command struct {
 	Operation Operation
 	AttemptID
 	GracePeriod micros.Time // for Stop
 }
+
+// String returns the command as written to the log.
+func (c Command) String() string { return c.Operation.String() + " " + c.AttemptID.String() }
+
+// CommandList is a list of commands, as an attribute of a log record.
+type CommandList []Command
+
+// String returns the commands in order. The log calls it only for records that are written.
+func (l CommandList) String() string {
+	texts := make([]string, len(l))
+	for i, c := range l {
+		texts[i] = c.String()
+	}
+	return strings.Join(texts, ", ")
+}
--- a/internal/coordination/messages/agents_test.go
+++ b/internal/coordination/messages/agents_test.go
@@ -29,3 +29,16 @@
 		seen[name] = r
 	}
 }
+
+func TestCommandListInLog(t *testing.T) {
+	id := AttemptID{Job: "wk-000412", Task: 3, Number: 644874491}
+	list := CommandList{
+		{Operation: Stop, AttemptID: id},
+		{Operation: Forget, AttemptID: id},
+		{Operation: Start, AttemptID: id},
+	}
+	const want = "stop wk-000412/3@644874491, forget wk-000412/3@644874491, start wk-000412/3@644874491"
+	if got := list.String(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/internal/coordination/objective_preemption.go
+++ b/internal/coordination/objective_preemption.go
@@ -73,7 +73,7 @@
 	o := objectivePreemption{p, r, startBy, scope, borrowed}
 	for _, v := range o.selectVictims(o.candidates(), missing) {
 		v.attempt.job.preemptedOnce.Add(v.attempt.id.Task)
-		p.stopAttempt(v.attempt, 0)
+		p.stopAttempt(v.attempt, reasonPreempted, 0)
 		for range v.slots {
 			if missing > 0 && p.startTask(j, v.machine, r.queued.Estimate) {
 				missing--
--- a/internal/coordination/partition.go
+++ b/internal/coordination/partition.go
@@ -96,6 +96,9 @@
 // it has acknowledged the new token.
 func (p *partitionLeader) renewToken(token uint64) {
 	if token != p.lease.fencingToken {
+		p.core.log(messages.LevelInfo, "fencing token renewed",
+			"partition", p.partition, "fencing_token", token, "previous_token", p.lease.fencingToken)
+		p.core.metrics.TokenRenewals++
 		p.lease.fencingToken = token
 		p.plan.stale = true
 	}
@@ -277,7 +280,7 @@
 		case cancelled:
 			p.kill(a)
 		default:
-			p.stopAttempt(a, 0)
+			p.stopAttempt(a, reasonJobInactive, 0)
 		}
 	}
 	p.core.faults.ForgetJob(j.ID)
--- a/internal/coordination/planning.go
+++ b/internal/coordination/planning.go
@@ -212,7 +212,7 @@
 		return false
 	}
 	p.attemptCounter++
-	number := p.lease.fencingToken<<20 + p.attemptCounter
+	number := attemptNumber(p.lease.fencingToken, p.attemptCounter)
 	a := &attempt{
 		id:              messages.AttemptID{Job: j.ID, Task: task, Number: number},
 		machine:         m,
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -72,7 +72,7 @@
 		if a.job.CheckpointInterval > 0 {
 			gracePeriod, checkpoints = a.job.CheckpointDuration, true
 		}
-		p.stopAttempt(a, gracePeriod)
+		p.stopAttempt(a, reasonPreempted, gracePeriod)
 	}
 	if !checkpoints {
 		// Agents execute commands in order, so the victims are gone before the start. A victim
--- a/internal/coordination/preemption_notice.go
+++ b/internal/coordination/preemption_notice.go
@@ -27,6 +27,6 @@
 		if a.job.CheckpointInterval > 0 && a.job.CheckpointDuration < timeLeft {
 			gracePeriod = a.job.CheckpointDuration
 		}
-		p.stopAttempt(a, gracePeriod)
+		p.stopAttempt(a, reasonInstanceTaken, gracePeriod)
 	}
 }
--- a/internal/coordination/reconciliation.go
+++ b/internal/coordination/reconciliation.go
@@ -14,6 +14,9 @@
 		reported[status.AttemptID] = true
 		a := m.attempts[status.AttemptID]
 		if a == nil {
+			if attemptToken(status.Number) >= p.lease.acquiredToken {
+				p.logRepeatedStart(m, status, h)
+			}
 			a = p.adoptAttempt(m, status)
 		}
 		a.start.reported = true
@@ -95,7 +98,7 @@
 	case p.core.isCancelled(status.Job):
 		p.killAdopted(a)
 	default:
-		p.stopAttempt(a, 0)
+		p.stopAttempt(a, reasonJobInactive, 0)
 	}
 }
 
@@ -103,11 +106,12 @@
 // never have two active attempts. The task is pending again only after both attempts have ended.
 func (p *partitionLeader) stopDuplicate(a *attempt) {
 	active := a.job.activeAttempts[a.id.Task]
+	p.core.metrics.DuplicateAttempts++
 	p.core.log(messages.LevelWarn, "duplicate task attempt",
 		"job", a.id.Job, "task", a.id.Task, "machine", a.machine.id, "other_machine", active.machine.id)
 	a.job.duplicateAttempts = append(a.job.duplicateAttempts, a)
 	a.persisted = true
-	p.stopAttempt(a, 0)
+	p.stopAttempt(a, reasonDuplicate, 0)
 }
 
 // adoptActiveAttempt makes an adopted attempt the active one of its task, and stops it if its job is
@@ -126,7 +130,7 @@
 	case a.job.cancelRequested:
 		p.killAdopted(a)
 	case a.job.taskCompleted(status.Task):
-		p.stopAttempt(a, 0)
+		p.stopAttempt(a, reasonTaskCompleted, 0)
 	}
 	p.plan.stale = true
 }
--- a/internal/coordination/store_changes.go
+++ b/internal/coordination/store_changes.go
@@ -115,5 +115,6 @@
 	p = newPartitionLeader(c, n, v)
 	c.partitions[n] = p
 	c.log(messages.LevelInfo, "partition leadership acquired", "partition", n, "fencing_token", v.ModRevision,
+		"revision", c.cache.Revision, "former_leaders", len(v.Value.FormerLeaders),
 		"machines", len(p.machines), "jobs", len(p.jobs))
 }
--- a/internal/coordination/store_changes_test.go
+++ b/internal/coordination/store_changes_test.go
@@ -58,7 +58,7 @@
 	if len(c.partitions) != 0 {
 		t.Error("partition is still led after another process became its leader")
 	}
-	want := []string{"partition leadership acquired", "partition leadership lost"}
+	want := []string{"partition leadership acquired", "fencing token renewed", "partition leadership lost"}
 	if got := logMessages(c); !slices.Equal(got, want) {
 		t.Errorf("log %q, want %q", got, want)
 	}
--- a/internal/transport/driver.go
+++ b/internal/transport/driver.go
@@ -38,6 +38,9 @@
 	healthy  atomic.Bool
 	lastStep atomic.Int64 // monotonicNow at the end of the last step
 
+	metrics       atomic.Pointer[messages.Metrics] // nil before the first step
+	nextMetricsAt micros.Time
+
 	pending *pendingRequests
 	clients *clients
 	peers   *peerLinks
@@ -87,6 +90,7 @@
 		clear(batch)
 		d.execute(ctx, &calls, out)
 		d.healthy.Store(d.core.Healthy())
+		d.updateMetrics()
 		d.lastStep.Store(d.monotonicNow())
 		timer.Reset(micros.Duration(max(0, out.NextTick-d.monotonicNow())))
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"pipitlatch/internal/coordination/messages"
 	"pipitlatch/internal/micros"
@@ -32,6 +33,7 @@
 	limit := newRequestLimit(uint(d.cfg.Operator.MaxInProgress))
 	r := chi.NewRouter()
 	r.Get("/up", d.serveHealth)
+	r.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(newMetricsRegistry(d), promhttp.HandlerOpts{}))
 	r.Post("/v1/report", d.serveHeartbeat)
 	r.Route("/submissions", func(r chi.Router) {
 		r.Use(listener.closeUserConnections)
