Let agents forget an attempt only once they reject every copy of its start command

Cause: the answer to a call was taken as its end. An attempt was forgotten when no start was in flight or unanswered. But a copy of an answered call matches fencing token and agent epoch as well, and starts a forgotten attempt anew. Refused starts were forgotten in the same way; a copy finds room later.

Fix: an attempt is forgotten only when its agent has acknowledged a higher fencing token than any call with its start carried, since it rejects all copies then. Why nothing stalls or piles up: each machine has a required token, that of the lease or of its transfer, and gets commands from there on; calls carry the newest token; replies to heartbeats carry a newer one only where attempts wait, so the fleet does not report all at once. A machine with 256 exited attempts gets no further starts, so its heartbeats stay below 64 KiB, also with the store down. Stopped starts without a reply are over in the same way, without giving the machine up.

Tests: those that modelled "not acknowledged" by raising the lease's token raise the machine's required token instead, and the raised token of the lease is a case of its own. TestForgettable has the token beside "no reply", and "answered" as a further case that must not be forgotten. TestDrawnFaults draws repeated commands.

--- a/internal/coordination/agent_calls.go
+++ b/internal/coordination/agent_calls.go
@@ -80,10 +80,11 @@
 }
 
 // sendBatch sends a machine the commands at the front of its queue, if its agent has acknowledged the
-// current fencing token and may be called now.
+// machine's required token and may be called now. The call carries the current token, which the agent
+// acknowledges with its reply.
 func (p *partitionLeader) sendBatch(m *machine) {
 	if !m.commands.Ready(p.core.now) ||
-		!m.agent.Acknowledged(p.lease.fencingToken) || !m.agent.HasHeartbeat() || m.address == "" {
+		!m.agent.Acknowledged(m.requiredToken) || !m.agent.HasHeartbeat() || m.address == "" {
 		return
 	}
 	batch := m.commands.TakeBatch(maxCommandsPerMessage)
@@ -92,6 +93,7 @@
 		if a != nil && batch[i].Operation == messages.Start {
 			a.start.inFlight++
 			a.start.sent = true
+			a.start.token = max(a.start.token, p.lease.fencingToken)
 		}
 	}
 	p.callAgent(m, batch, false)
@@ -123,6 +125,9 @@
 		fencingToken: p.lease.fencingToken,
 	}
 	p.logCommands(m, pathCall, call.fencingToken, batch)
+	if !statusOnly {
+		m.sentToken = call.fencingToken
+	}
 	m.commands.CallStarted()
 	p.core.callAgent(messages.AgentCall{
 		Machine:      m.id,
--- a/internal/coordination/agent_calls_test.go
+++ b/internal/coordination/agent_calls_test.go
@@ -147,7 +147,7 @@
 		name   string
 		change func(p *partitionLeader, m *machine)
 	}{
-		{"has not acknowledged the current token", func(p *partitionLeader, _ *machine) { p.lease.fencingToken++ }},
+		{"has not acknowledged the required token", func(_ *partitionLeader, m *machine) { m.requiredToken++ }},
 		{"address unknown", func(_ *partitionLeader, m *machine) { m.address = "" }},
 		{"call already in flight", func(_ *partitionLeader, m *machine) { m.commands.CallStarted() }},
 	}
--- a/internal/coordination/agents/heartbeat_state.go
+++ b/internal/coordination/agents/heartbeat_state.go
@@ -55,9 +55,9 @@
 	return s.bootedAt != 0 && now-s.bootedAt < duration
 }
 
-// Acknowledged reports whether the newest heartbeat carried this fencing token: the agent accepts
-// commands with this token and rejects those with a lower one.
-func (s *HeartbeatState) Acknowledged(token uint64) bool { return s.ackedToken == token }
+// Acknowledged reports whether the newest heartbeat carried this fencing token or a higher one: the agent
+// rejects commands with a lower one.
+func (s *HeartbeatState) Acknowledged(token uint64) bool { return s.ackedToken >= token }
 
 // AcknowledgedToken returns the fencing token of the newest heartbeat; 0 if there is none in this epoch.
 func (s *HeartbeatState) AcknowledgedToken() uint64 { return s.ackedToken }
@@ -69,9 +69,9 @@
 // its next epoch.
 func (s *HeartbeatState) LeaseExpired() bool { return s.leaseExpired }
 
-// Usable reports whether the agent's tasks are known and it accepts commands with this token.
+// Usable reports whether the agent's tasks are known and it rejects commands with a token lower than this.
 func (s *HeartbeatState) Usable(token uint64) bool {
-	return s.reconciled && !s.leaseExpired && s.ackedToken == token && s.HasHeartbeat()
+	return s.reconciled && !s.leaseExpired && s.ackedToken >= token && s.HasHeartbeat()
 }
 
 // IsNewer reports whether a heartbeat is newer than all those observed so far.
--- a/internal/coordination/attempt.go
+++ b/internal/coordination/attempt.go
@@ -31,8 +31,16 @@
 	reported   bool // a heartbeat reported the attempt
 	inFlight   int  // start commands that wait for a reply
 	unanswered int  // start commands that got no reply and may still arrive late
+
+	// token is the highest fencing token of a call with a start command; 0 if there was none under this
+	// lease. Any copy of such a call may be executed late, whether it was answered or not.
+	token uint64
 }
 
+// fencedBy reports whether an agent that has acknowledged a fencing token rejects every copy of the calls
+// with a start command.
+func (s *startState) fencedBy(acknowledged uint64) bool { return s.token < acknowledged }
+
 // stopState tracks the orders to stop an attempt.
 type stopState struct {
 	ordered      bool
--- a/internal/coordination/consolidation.go
+++ b/internal/coordination/consolidation.go
@@ -86,7 +86,7 @@
 // pass.
 func (p *partitionLeader) evictNextReplica(m *machine, unplaceable map[string]bool) {
 	interval := replicaMoveInterval / 2 / micros.Time(max(1, p.packLimit()))
-	if p.core.now-p.consolidation.replicaMovedAt < interval || !m.agent.Acknowledged(p.lease.fencingToken) {
+	if p.core.now-p.consolidation.replicaMovedAt < interval || !m.agent.Acknowledged(m.requiredToken) {
 		return
 	}
 	// Without the image on the target, the replica is down while the image is fetched. Freeing an
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -132,19 +132,36 @@
 // newer heartbeat carries commands: a copy does not show the agent's current tasks.
 func (p *partitionLeader) acknowledgeHeartbeat(request messages.RequestID, m *machine, newer bool) {
 	m.contact.Replied(p.core.now)
+	token := p.replyToken(m)
 	var commands []messages.Command
 	if newer {
 		commands = p.commandsFor(m)
-		p.logCommands(m, pathReply, p.lease.fencingToken, commands)
+		p.logCommands(m, pathReply, token, commands)
 	}
+	m.sentToken = token
 	p.core.respond(messages.Response{
 		Request:      request,
 		Kind:         messages.HeartbeatAcknowledged,
-		FencingToken: p.lease.fencingToken,
+		FencingToken: token,
 		Commands:     commands,
 	})
 }
 
+// replyToken returns the fencing token for the reply to a heartbeat: the current one if an attempt waits
+// until the agent has acknowledged it, and otherwise the highest that was sent to the agent. An agent reports
+// a higher token at once, so a new one must not go to the whole fleet.
+func (p *partitionLeader) replyToken(m *machine) uint64 {
+	if !m.agent.Acknowledged(m.requiredToken) {
+		return p.lease.fencingToken
+	}
+	for _, a := range m.attempts {
+		if a.awaitsFencing() && !a.start.fencedBy(m.agent.AcknowledgedToken()) && a.start.fencedBy(p.lease.fencingToken) {
+			return p.lease.fencingToken
+		}
+	}
+	return max(m.sentToken, m.agent.AcknowledgedToken())
+}
+
 // observeReplyReceipt records whether a newer heartbeat shows that the reply to the previous one was
 // received. The reply was lost if the heartbeat carries no fencing token of this lease, or if the
 // agent's epoch ended.
@@ -181,14 +198,14 @@
 		return
 	}
 	m.agent.Acknowledge(h.FencingToken)
-	if h.FencingToken < p.lease.acquiredToken {
+	if !m.agent.Acknowledged(m.requiredToken) {
 		// The heartbeat does not acknowledge a token of this lease. It may be a copy of an old
 		// heartbeat, or commands of the former leader may still take effect after it, so its task
 		// list is not used.
 		return
 	}
 	p.reconcileTasks(m, h)
-	if m.agent.Acknowledged(p.lease.fencingToken) && !m.agent.Reconciled() {
+	if !m.agent.Reconciled() {
 		m.agent.Reconcile()
 		p.plan.stale = true
 	}
@@ -247,13 +264,13 @@
 // commandsFor returns the commands for the reply to a heartbeat. The agent drops late replies, so
 // these commands are never executed late.
 func (p *partitionLeader) commandsFor(m *machine) []messages.Command {
-	if !m.agent.Acknowledged(p.lease.fencingToken) {
+	if !m.agent.Acknowledged(m.requiredToken) {
 		return nil
 	}
 	var commands []messages.Command
 	for id, a := range m.attempts {
 		switch {
-		case a.forgettable():
+		case a.forgettable(m.agent.AcknowledgedToken()):
 			commands = append(commands, messages.Command{Operation: messages.Forget, AttemptID: id})
 		case a.state != messages.Exited && a.stop.ordered:
 			commands = append(commands, messages.Command{
@@ -267,14 +284,15 @@
 	return commands[:min(len(commands), maxCommandsPerMessage)]
 }
 
-// forgettable reports whether the agent may forget an attempt: it exited, its result is stored, and
-// no start command for it may still arrive, which would start the forgotten attempt again.
-func (a *attempt) forgettable() bool {
+// forgettable reports whether the agent may forget an attempt, given the fencing token that it has
+// acknowledged: the attempt exited, its result is stored, and the agent rejects every copy of its start
+// command, which would start the forgotten attempt again.
+func (a *attempt) forgettable(acknowledged uint64) bool {
 	return a.state == messages.Exited &&
 		a.start.reported &&
 		a.persisted &&
 		a.start.inFlight == 0 &&
-		a.start.unanswered == 0
+		a.start.fencedBy(acknowledged)
 }
 
 // remainingGrace returns the grace period of a repeated stop: zero once the time to save a
--- a/internal/coordination/heartbeats_test.go
+++ b/internal/coordination/heartbeats_test.go
@@ -133,6 +133,7 @@
 }
 
 func TestForgettable(t *testing.T) {
+	const acknowledged = 5 // fencing token
 	tests := []struct {
 		name   string
 		change func(*attempt)
@@ -143,13 +144,15 @@
 		{"result not stored yet", func(a *attempt) { a.persisted = false }, false},
 		{"never reported by a heartbeat", func(a *attempt) { a.start.reported = false }, false},
 		{"start command in flight", func(a *attempt) { a.start.inFlight = 1 }, false},
-		{"start command without a reply", func(a *attempt) { a.start.unanswered = 1 }, false},
+		{"start command without a reply", func(a *attempt) { a.start.unanswered, a.start.token = 1, acknowledged }, false},
+		{"start command answered", func(a *attempt) { a.start.token = acknowledged }, false},
+		{"start command under a lower token", func(a *attempt) { a.start.token = acknowledged - 1 }, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			a := &attempt{state: messages.Exited, persisted: true, start: startState{sent: true, reported: true}}
 			test.change(a)
-			if got := a.forgettable(); got != test.want {
+			if got := a.forgettable(acknowledged); got != test.want {
 				t.Errorf("forgettable = %v, want %v", got, test.want)
 			}
 		})
@@ -166,12 +169,13 @@
 		{"in flight", startState{sent: true, inFlight: 1}, true},
 		{"no reply", startState{sent: true, unanswered: 1}, true},
 		{"answered, but not reported", startState{sent: true}, false},
+		{"no reply, under a lower token, to be sent again", startState{sent: true, unanswered: 1, token: 4}, true},
 		{"reported before, and forgotten since", startState{sent: true, reported: true, unanswered: 1}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			a := &attempt{start: test.start}
-			if got := a.startMayArrive(); got != test.want {
+			if got := a.startMayArrive(5); got != test.want {
 				t.Errorf("startMayArrive = %v, want %v", got, test.want)
 			}
 		})
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -20,6 +20,11 @@
 	instanceType *workload.InstanceType
 	address      string
 
+	// requiredToken is the lowest fencing token whose acknowledgement shows that the agent executes commands
+	// of this partition leader only.
+	requiredToken uint64
+	sentToken     uint64 // the fencing token that was last sent to the agent
+
 	agent     agents.HeartbeatState
 	contact   agents.Contact
 	lifecycle machineLifecycle
@@ -67,8 +72,9 @@
 // accepts commands of this partition leader, it is neither draining nor about to be preempted, and
 // messages have recently reached it and renewed its lease.
 func (p *partitionLeader) schedulable(m *machine) bool {
-	return m.agent.Usable(p.lease.fencingToken) &&
+	return m.agent.Usable(m.requiredToken) &&
 		m.record.Used &&
+		m.exitedAttempts() < maxExitedAttempts &&
 		m.drain.reason == notDraining &&
 		m.lifecycle.preemptAt == 0 &&
 		m.address != "" &&
@@ -92,6 +98,24 @@
 	return true
 }
 
+// maxExitedAttempts is the number of exited attempts on a machine from which no further ones are started until
+// the agent was told to forget some: its heartbeats list them all, and must not exceed 64 KiB.
+const maxExitedAttempts = 256
+
+// exitedAttempts returns the number of exited attempts that the agent may not forget yet.
+func (m *machine) exitedAttempts() int {
+	if len(m.attempts) < maxExitedAttempts {
+		return 0 // too few to matter, which avoids counting them
+	}
+	count := 0
+	for _, a := range m.attempts {
+		if a.state == messages.Exited {
+			count++
+		}
+	}
+	return count
+}
+
 // hasActiveAttempts reports whether any attempt on the machine has not exited.
 func (m *machine) hasActiveAttempts() bool {
 	for _, a := range m.attempts {
--- a/internal/coordination/machine_health.go
+++ b/internal/coordination/machine_health.go
@@ -63,7 +63,7 @@
 }
 
 // needsProbe reports whether the machine should be asked for a heartbeat now: it did not answer the
-// last call, has not acknowledged the current fencing token, should have been preempted by now, or
+// last call, has not acknowledged its required fencing token, should have been preempted by now, or
 // is silent.
 func (p *partitionLeader) needsProbe(m *machine, silence micros.Time) bool {
 	if !m.inUse() || !p.mayProbe(m) {
@@ -72,7 +72,7 @@
 	// A quarter of the suspicion timeout is a lower bound of probeAfter: comparing with it first avoids
 	// counting the service replicas of most machines.
 	return m.contact.FailedCalls() > 0 ||
-		!m.agent.Acknowledged(p.lease.fencingToken) ||
+		!m.agent.Acknowledged(m.requiredToken) ||
 		p.preemptionOverdue(m, 0) ||
 		(silence > p.suspicionTimeout()/4 && silence > p.probeAfter(m))
 }
@@ -191,5 +191,5 @@
 	}
 	return m.drain.reason == drainUnresponsive &&
 		silence < recoverySilence &&
-		m.agent.Usable(p.lease.fencingToken)
+		m.agent.Usable(m.requiredToken)
 }
--- a/internal/coordination/machine_health_test.go
+++ b/internal/coordination/machine_health_test.go
@@ -62,7 +62,7 @@
 // ago.
 func unresolvedStart(p *partitionLeader, m *machine, stoppedFor micros.Time) *attempt {
 	a := &attempt{id: messages.AttemptID{Job: "x", Number: 99}, machine: m}
-	a.start = startState{sent: true, unanswered: 1}
+	a.start = startState{sent: true, unanswered: 1, token: p.lease.fencingToken}
 	a.stop = stopState{ordered: true, orderedAt: p.core.now - stoppedFor}
 	m.attempts[a.id] = a
 	m.commands.StartUnanswered()
@@ -281,7 +281,8 @@
 		{"silent", func(p *partitionLeader, m *machine) { silentFor(p, m, p.probeAfter(m)+1, 0) }, true},
 		{"not yet silent for long", func(p *partitionLeader, m *machine) { silentFor(p, m, p.probeAfter(m), 0) }, false},
 		{"last call failed", func(p *partitionLeader, m *machine) { m.contact.CallFailed(p.core.now) }, true},
-		{"has not acknowledged the current token", func(p *partitionLeader, _ *machine) { p.lease.fencingToken++ }, true},
+		{"has not acknowledged the required token", func(_ *partitionLeader, m *machine) { m.requiredToken++ }, true},
+		{"has not acknowledged a renewed token", func(p *partitionLeader, _ *machine) { p.lease.fencingToken++ }, false},
 		{"should have been preempted", func(p *partitionLeader, m *machine) {
 			m.lifecycle.preemptAt = p.core.now - 1
 		}, true},
@@ -365,9 +366,9 @@
 			if got := p.recovered(m, test.silence); got != test.want {
 				t.Errorf("recovered = %v, want %v", got, test.want)
 			}
-			p.lease.fencingToken++
+			m.requiredToken++
 			if p.recovered(m, test.silence) {
-				t.Error("recovered before the machine acknowledged the current token")
+				t.Error("recovered before the machine acknowledged the required token")
 			}
 		})
 	}
--- a/internal/coordination/machine_use.go
+++ b/internal/coordination/machine_use.go
@@ -53,11 +53,11 @@
 }
 
 // needsUseRecord reports whether the machine is to be marked as in use now: it is not marked yet, its
-// agent has acknowledged this partition leader's fencing token, and its block is not being written.
+// agent has acknowledged its required fencing token, and its block is not being written.
 func (p *partitionLeader) needsUseRecord(m *machine) bool {
 	return !m.record.Used &&
 		m.agent.HasHeartbeat() &&
-		m.agent.Acknowledged(p.lease.fencingToken) &&
+		m.agent.Acknowledged(m.requiredToken) &&
 		m.drain.reason == notDraining &&
 		p.core.now >= p.useWriteAfter[m.record.Block]
 }
--- a/internal/coordination/machine_use_test.go
+++ b/internal/coordination/machine_use_test.go
@@ -22,11 +22,15 @@
 		t.Fatalf("wrote %v while the block is being written", got)
 	}
 	p.core.now += useWriteTimeout
-	p.lease.fencingToken++
+	for _, m := range p.machines[:3] {
+		m.requiredToken++
+	}
 	if got := machineUseWrites(t, p); len(got) != 0 {
-		t.Fatalf("wrote %v before the machines acknowledged the current token", got)
+		t.Fatalf("wrote %v before the machines acknowledged the required token", got)
+	}
+	for _, m := range p.machines[:3] {
+		m.requiredToken--
 	}
-	p.lease.fencingToken--
 	p.machines[0].modRevision++
 	p.machines[1].drain.reason = drainSlow
 	p.machines[2].agent = agents.HeartbeatState{}
--- a/internal/coordination/partition.go
+++ b/internal/coordination/partition.go
@@ -31,6 +31,7 @@
 	consolidation consolidationState
 	detector      *failuredetector.Detector
 	dependencies  dependencyState
+	renewal       tokenRenewal
 
 	lastTick      micros.Time
 	sendRound     int                    // number of rounds of sending commands
@@ -92,18 +93,26 @@
 	return 0
 }
 
-// renewToken sets a new fencing token under the same lease. An agent gets commands again only after
-// it has acknowledged the new token.
+// renewToken sets a new fencing token under the same lease. Agents keep accepting commands under it: they
+// have acknowledged a lower token of this lease. The cluster leader ignores statuses under an earlier token,
+// so the next one is sent early.
 func (p *partitionLeader) renewToken(token uint64) {
 	if token != p.lease.fencingToken {
 		p.core.log(messages.LevelInfo, "fencing token renewed",
 			"partition", p.partition, "fencing_token", token, "previous_token", p.lease.fencingToken)
 		p.core.metrics.TokenRenewals++
 		p.lease.fencingToken = token
-		p.plan.stale = true
+		p.core.status.soon = true
 	}
 }
 
+// holdsLease reports whether a record of the partition shows that this leader has held its lease since it
+// acquired it: the record is unchanged, or was only written again under the same lease.
+func (p *partitionLeader) holdsLease(stored storage.Versioned[storage.PartitionRecord]) bool {
+	return stored.Value.Leader == p.core.process &&
+		(stored.ModRevision == p.lease.fencingToken || stored.Value.AcquiredRevision == p.lease.acquiredToken)
+}
+
 // reconcileSnapshot applies a new snapshot of the store to all jobs and machines, including those of
 // the old cache that the snapshot no longer contains.
 func (p *partitionLeader) reconcileSnapshot(old *storage.Cache) {
@@ -149,6 +158,7 @@
 	p.drainOverdueKills()
 	p.sendProbes()
 	p.persistMachineUse()
+	p.requestTokenRenewal()
 	for _, j := range p.sortedJobs {
 		p.persistCompleted(j)
 	}
@@ -183,9 +193,11 @@
 		record:      stored.Value,
 		modRevision: stored.ModRevision,
 		address:     stored.Value.Address,
-		contact:     agents.NewContact(p.core.now),
-		lifecycle:   machineLifecycle{addedAt: p.core.now, idleSince: p.core.now},
-		attempts:    map[messages.AttemptID]*attempt{},
+		// A transfer of the machine to this partition gave the partition a new token.
+		requiredToken: max(p.lease.acquiredToken, p.core.cache.Partitions[p.partition].ModRevision),
+		contact:       agents.NewContact(p.core.now),
+		lifecycle:     machineLifecycle{addedAt: p.core.now, idleSince: p.core.now},
+		attempts:      map[messages.AttemptID]*attempt{},
 	}
 	// The machine certainly has no tasks in these cases: tasks are started on a machine only after
 	// its record says that it is used, and a block that is newer than the lease never belonged to a
--- a/internal/coordination/preemption_notice.go
+++ b/internal/coordination/preemption_notice.go
@@ -12,7 +12,7 @@
 // keep serving until the machine is gone.
 func (p *partitionLeader) handlePreemptionNotice(m *machine) {
 	if m.lifecycle.preemptAt == 0 || m.lifecycle.preemptionHandled ||
-		!m.agent.Acknowledged(p.lease.fencingToken) || !m.agent.Reconciled() {
+		!m.agent.Acknowledged(m.requiredToken) || !m.agent.Reconciled() {
 		return
 	}
 	m.lifecycle.preemptionHandled = true
--- a/internal/coordination/reachability.go
+++ b/internal/coordination/reachability.go
@@ -90,14 +90,18 @@
 // unreachableFromLeader reports whether a machine should not be redirected to its partition's leader
 // because the two cannot communicate. A redirect would waste time in which another controller could
 // take over before the agent lease expires. The conclusion is drawn from the leader's own recent
-// status. Without one, the leader is unreachable from here, and a heartbeat that carries its
-// fencing token shows that the agent has already turned away from it.
+// status. Without one, the leader is unreachable from here, and a heartbeat that carries a
+// fencing token of its lease shows that the agent has already turned away from it.
 func (c *Core) unreachableFromLeader(
 	heartbeat *messages.Heartbeat, machine storage.Machine, partition storage.Versioned[storage.PartitionRecord],
 ) bool {
 	status := c.recentStatus(partition.Value.Leader, leaderStatusTTL)
 	if status == nil {
-		return heartbeat.FencingToken == partition.ModRevision
+		acquired := partition.ModRevision
+		if partition.Value.AcquiredRevision != 0 {
+			acquired = partition.Value.AcquiredRevision
+		}
+		return heartbeat.FencingToken >= acquired && heartbeat.FencingToken <= partition.ModRevision
 	}
 	return reachability.IsZoneUnreachable(status, machine.Partition, machine.Zone)
 }
--- a/internal/coordination/reachability_test.go
+++ b/internal/coordination/reachability_test.go
@@ -62,23 +62,28 @@
 func TestUnreachableFromLeader(t *testing.T) {
 	const token = 7
 	tests := []struct {
-		name  string
-		from  storage.Process
-		age   micros.Time
-		zones []string
-		token uint64 // fencing token in the heartbeat
-		want  bool
+		name     string
+		from     storage.Process
+		age      micros.Time
+		zones    []string
+		acquired uint64 // revision in the partition's record
+		token    uint64 // fencing token in the heartbeat
+		want     bool
 	}{
-		{"zone reachable from the leader", remoteLeader, 0, []string{"b"}, token, false},
-		{"zone unreachable from the leader", remoteLeader, 0, []string{"a"}, 0, true},
-		{"no recent status, agent has the leader's token", remoteLeader, leaderStatusTTL + 1, nil, token, true},
-		{"no recent status, agent has an older token", remoteLeader, leaderStatusTTL + 1, nil, token - 1, false},
+		{"zone reachable from the leader", remoteLeader, 0, []string{"b"}, 0, token, false},
+		{"zone unreachable from the leader", remoteLeader, 0, []string{"a"}, 0, 0, true},
+		{"no recent status, agent has the leader's token", remoteLeader, leaderStatusTTL + 1, nil, 0, token, true},
+		{"no recent status, agent has an older token", remoteLeader, leaderStatusTTL + 1, nil, 0, token - 1, false},
+		{"no recent status, agent has a newer token", remoteLeader, leaderStatusTTL + 1, nil, 0, token + 1, false},
+		{"no recent status, agent has an earlier token of the lease", remoteLeader, leaderStatusTTL + 1, nil, 5, 5, true},
+		{"no recent status, agent has a token before the lease", remoteLeader, leaderStatusTTL + 1, nil, 5, 4, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := newFollower(t, test.from, test.age, test.zones...)
 			partition := storage.Versioned[storage.PartitionRecord]{
-				Value: storage.PartitionRecord{Leader: remoteLeader}, ModRevision: token,
+				Value:       storage.PartitionRecord{Leader: remoteLeader, AcquiredRevision: test.acquired},
+				ModRevision: token,
 			}
 			heartbeat := &messages.Heartbeat{FencingToken: test.token}
 			if got := c.unreachableFromLeader(heartbeat, storage.Machine{Zone: "a"}, partition); got != test.want {
--- a/internal/coordination/reconciliation.go
+++ b/internal/coordination/reconciliation.go
@@ -14,10 +14,11 @@
 		reported[status.AttemptID] = true
 		a := m.attempts[status.AttemptID]
 		if a == nil {
-			if attemptToken(status.Number) >= p.lease.acquiredToken {
+			a = p.adoptAttempt(m, status)
+			if attemptToken(status.Number) >= m.requiredToken {
 				p.logRepeatedStart(m, status, h)
+				a.start.token = p.lease.fencingToken
 			}
-			a = p.adoptAttempt(m, status)
 		}
 		a.start.reported = true
 		p.updateAttempt(a, status)
@@ -33,20 +34,28 @@
 func (p *partitionLeader) removeAbsentAttempts(m *machine, reported map[messages.AttemptID]bool) {
 	for _, id := range sortedAttempts(m) {
 		a := m.attempts[id]
-		if reported[id] || a.startMayArrive() {
+		if reported[id] || a.startMayArrive(m.agent.AcknowledgedToken()) {
 			continue
 		}
 		delete(m.attempts, id)
+		m.commands.RemoveAttempt(id)
 		p.release(a)
 		p.requeue(a)
 	}
 }
 
-// startMayArrive reports whether the agent may still receive the start command of an attempt that
-// its heartbeat does not report: the command is not sent yet, or got no reply. Treating such an
-// attempt as not started could run the task twice.
-func (a *attempt) startMayArrive() bool {
-	return !a.start.sent || (!a.start.reported && a.start.inFlight+a.start.unanswered > 0)
+// startMayArrive reports whether the agent may still execute the start command of an attempt that its
+// heartbeat, with this fencing token, does not report: the command is not sent yet, or got no reply. Treating
+// such an attempt as not started could run the task twice. A start that got no reply is sent again until its
+// attempt is stopped; then it is over once the agent rejects it.
+func (a *attempt) startMayArrive(acknowledged uint64) bool {
+	if !a.start.sent {
+		return true
+	}
+	if a.start.reported || a.start.inFlight+a.start.unanswered == 0 {
+		return false
+	}
+	return !a.stop.ordered || !a.start.fencedBy(acknowledged)
 }
 
 // adoptAttempt takes over an attempt that this partition leader did not start.
--- a/internal/coordination/store_changes.go
+++ b/internal/coordination/store_changes.go
@@ -28,7 +28,7 @@
 	c := o.core
 	c.cache = c.replica.Cache()
 	for n, p := range c.partitions {
-		if v := c.cache.Partitions[n]; v.ModRevision != p.lease.fencingToken || v.Value.Leader != c.process {
+		if !p.holdsLease(c.cache.Partitions[n]) {
 			delete(c.partitions, n)
 			continue
 		}
--- a/internal/coordination/store_changes_test.go
+++ b/internal/coordination/store_changes_test.go
@@ -65,18 +65,21 @@
 }
 
 // TestSnapshotAndPartitionLeadership: what happened between two snapshots is unknown, so a leadership
-// continues only if its record is unchanged.
+// continues only if its record is unchanged, or shows that it was written again under the same lease.
 func TestSnapshotAndPartitionLeadership(t *testing.T) {
 	for name, test := range map[string]struct {
 		leader   *storage.Process // in the snapshot; nil: no record
 		revision uint64
+		acquired uint64 // in the record
 		kept     bool
 		leads    bool
 	}{
-		"same record: continues":                    {&storage.Process{Member: "n0", Incarnation: "1"}, 6, true, true},
-		"later record of this process: starts anew": {&storage.Process{Member: "n0", Incarnation: "1"}, 9, false, true},
-		"another leader: ends":                      {&otherProcess, 9, false, false},
-		"no record: ends":                           {nil, 0, false, false},
+		"same record: continues":                    {&storage.Process{Member: "n0", Incarnation: "1"}, 6, 0, true, true},
+		"later record of this process: starts anew": {&storage.Process{Member: "n0", Incarnation: "1"}, 9, 0, false, true},
+		"token renewed: continues":                  {&storage.Process{Member: "n0", Incarnation: "1"}, 9, 6, true, true},
+		"renewed under another lease: starts anew":  {&storage.Process{Member: "n0", Incarnation: "1"}, 9, 8, false, true},
+		"another leader: ends":                      {&otherProcess, 9, 6, false, false},
+		"no record: ends":                           {nil, 0, 0, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCoreInStep(t)
@@ -85,7 +88,7 @@
 			snapshot := storage.NewCache(c.keys)
 			if test.leader != nil {
 				record := storage.Versioned[storage.PartitionRecord]{ModRevision: test.revision}
-				record.Value.Leader = *test.leader
+				record.Value.Leader, record.Value.AcquiredRevision = *test.leader, test.acquired
 				snapshot.Partitions[0] = record
 			}
 			c.replica.Install(snapshot, c.now)
@@ -97,6 +100,9 @@
 				t.Errorf("leads: %v, want %v; same leader as before: %v, want %v",
 					after != nil, test.leads, after == before, test.kept)
 			}
+			if after != nil && after.lease.fencingToken != test.revision {
+				t.Errorf("fencing token %d, want %d", after.lease.fencingToken, test.revision)
+			}
 		})
 	}
 }
--- a/internal/coordination/transfer.go
+++ b/internal/coordination/transfer.go
@@ -46,7 +46,6 @@
 	m *machine, record storage.Machine, toPartition int, to storage.Versioned[storage.PartitionRecord],
 ) *storage.Request {
 	keys := p.core.keys
-	from := p.core.cache.Partitions[p.partition]
 	oldBlock := p.core.cache.Blocks[record.Block]
 	newBlock := storage.BlockRecord{
 		Partition:    toPartition,
@@ -65,7 +64,7 @@
 		},
 		Puts: []storage.Put{
 			{Key: newBlockKey, Value: storage.Encode(newBlock)},
-			{Key: keys.Partition(p.partition), Value: storage.Encode(from.Value)},
+			{Key: keys.Partition(p.partition), Value: storage.Encode(p.leaseRecord())},
 			{Key: keys.Partition(toPartition), Value: storage.Encode(to.Value)},
 		},
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -86,6 +86,8 @@
 	"agent any delay-commands by=6 for=%d",
 	"agent all delay-commands by=4 for=%d",
 	"agent any slow factor=4",
+	"agent all repeat-commands by=90 for=%d",
+	"agent all repeat-commands by=20 for=60",
 	"cut vm-000001 hold for=%d",
 	"cut vm-000002 for=%d",
 	"cut vm-000001 partition-leader hold for=%d",
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -22,6 +22,9 @@
 type PartitionRecord struct {
 	Leader        Process   `json:"h"`
 	FormerLeaders []Process `json:"f,omitempty"`
+	// AcquiredRevision is the mod revision at which the leader acquired the partition; 0 if that is not known
+	// to be earlier than the record's own. The leader writes it when it renews the fencing token.
+	AcquiredRevision uint64 `json:"a,omitempty"`
 }
 
 // Format is the newest record format that this version writes. Format 2 adds jobs with
