--- a/internal/scenario/agent_heartbeats_test.go
+++ b/internal/scenario/agent_heartbeats_test.go
@@ -121,6 +121,7 @@
 		w.send(n.name, m.name, func() { end(0, nil) })
 		return
 	}
+	w.observed.load.heartbeats++
 	heartbeat, err := protocol.ParseHeartbeat(raw)
 	if err != nil {
 		w.breakRule("bench", "a heartbeat cannot be read: %v", err)
--- a/internal/scenario/controller_test.go
+++ b/internal/scenario/controller_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"time"
 
 	"pipitlatch/internal/config"
 	"pipitlatch/internal/coordination"
 	"pipitlatch/internal/coordination/messages"
 	"pipitlatch/internal/micros"
 	"pipitlatch/internal/protocol"
+	"pipitlatch/internal/storage"
 )
 
 // node is one controller.
@@ -65,7 +67,9 @@
 	}
 	w := n.w
 	steady := micros.Time(float64(w.now)*n.drift) + 1
+	began := time.Now()
 	out := n.core.Step(steady, 1_800_000_000*micros.Second+w.now+n.skew, in...)
+	w.observed.load.stepTime += time.Since(began)
 	for _, l := range out.LogRecords {
 		n.observeLog(l)
 	}
@@ -122,6 +126,9 @@
 }
 
 func (n *node) callStore(c messages.StoreCall) {
+	if c.Request.Kind == storage.Txn {
+		n.w.observed.load.storeWrites++
+	}
 	req := protocol.EncodeStoreRequest(c.Request)
 	n.w.digest.request(n, "state", req, c.Timeout)
 	n.call(storeHost, c.Timeout, func(reply replyFunc) {
@@ -145,6 +152,7 @@
 
 func (n *node) callAgent(c messages.AgentCall) {
 	w := n.w
+	w.observed.load.agentCalls++
 	body := protocol.EncodeCommands(&c)
 	w.digest.command(n, &c, body)
 	m := w.cloud.byAddress[c.Address]
--- a/internal/scenario/large_test.go
+++ b/internal/scenario/large_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"pipitlatch/internal/micros"
 )
 
 // large is a deployment of some 350 machines with services and arrays.
@@ -35,3 +37,42 @@
 		b.ReportMetric(float64(r.Starts), "starts")
 	}
 }
+
+// fleet4000 is a deployment of 4,000 machines, on which services and arrays of short tasks run.
+func fleet4000() string {
+	var b strings.Builder
+	b.WriteString("cluster teams=alpha:0:0 heartbeat=5 lease=26.5 cancel=51.5 ")
+	b.WriteString(`rps=500 write_rps=100 connections=7200 memory=500
+type small cores=8 ram=32 zones=a,b,c capacity=1500 spot_capacity=0 boot=10 fetch=4
+machine small on-demand zone=a n=1334
+machine small on-demand zone=b n=1333
+machine small on-demand zone=c n=1333
+at 0 submit wk-000001 jobs=20 every=0.02 shape=service tasks=100 rank=production cores=4 ram=5 image=img-1
+`)
+	for i := range 30 {
+		fmt.Fprintf(&b, "at %d submit wk-2%03d00 jobs=8 every=0.2 tasks=100 cores=2 ram=2 "+
+			"runs=20 due=60 image=img-2\n", 3+2*i, i)
+	}
+	b.WriteString("until 80\n")
+	return b.String()
+}
+
+// BenchmarkFleet4000 plays 80 s of it and reports what the controllers had to do in a second of simulated time.
+func BenchmarkFleet4000(b *testing.B) {
+	s, err := parseScript(fleet4000())
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		w, err := s.play("", 1, func(string, ...any) {})
+		if err != nil || len(w.broken) > 0 {
+			b.Fatal(err, w.broken)
+		}
+		seconds := micros.Seconds(s.until)
+		b.ReportMetric(float64(w.users.startCount)/seconds, "starts/s")
+		b.ReportMetric(float64(w.observed.load.heartbeats)/seconds, "heartbeats/s")
+		b.ReportMetric(float64(w.observed.load.agentCalls)/seconds, "calls/s")
+		b.ReportMetric(float64(w.observed.load.storeWrites)/seconds, "transactions/s")
+		b.ReportMetric(w.observed.load.stepTime.Seconds()*1000/seconds, "core-ms/s")
+	}
+}
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"time"
+
 	"pipitlatch/internal/config"
 	"pipitlatch/internal/micros"
 )
@@ -28,6 +30,15 @@
 	failovers             int         // how often a partition got a leader
 	verdicts              verdicts
 	replayedHeartbeats    [][]byte // sent again when a partition gets a new leader
+	load                  load
+}
+
+// load is what the controllers had to do.
+type load struct {
+	heartbeats  int // received by any controller, without duplicates
+	agentCalls  int
+	storeWrites int           // transactions sent
+	stepTime    time.Duration // real time that the steps of the cores took
 }
 
 // loopbackHooks are set when the controllers are real processes. They send an agent's heartbeat and
