Recognise an agent that restarted within its lease although a copied command told it the token

A restarted agent has lost its tasks and has seen no fencing token, so copies of earlier calls match until our first contact, and a copy itself tells it the current token. Its heartbeats then look valid as soon as their sequence passes the one known before: the tasks that they lack were taken as forgotten and started elsewhere, while further copies could start them here. And the end of the lease was counted from our last reply; the lease of the fresh agent ends later.

Now a heartbeat without an attempt that the agent reported before, and was not told to forget, shows the restart: the machine is given up, its tasks start elsewhere when it is gone. The end of the lease counts from when the restart was seen.

--- a/internal/coordination/agent_calls_test.go
+++ b/internal/coordination/agent_calls_test.go
@@ -21,10 +21,18 @@
 	return a, calls[0]
 }
 
-// nextHeartbeat returns the heartbeat that a machine's agent sends next.
+// nextHeartbeat returns the heartbeat that a machine's agent sends next, with the attempts that it reported
+// before.
 func nextHeartbeat(p *partitionLeader, m *machine) *messages.Heartbeat {
+	var tasks []messages.TaskStatus
+	for _, id := range sortedAttempts(m) {
+		if a := m.attempts[id]; a.remembered() {
+			tasks = append(tasks, messages.TaskStatus{AttemptID: id, State: a.state})
+		}
+	}
 	position := m.agent.Position()
 	return &messages.Heartbeat{
+		Tasks:            tasks,
 		Machine:          m.id,
 		AgentEpoch:       position.Epoch,
 		Sequence:         position.Sequence + 1,
--- a/internal/coordination/agents/contact.go
+++ b/internal/coordination/agents/contact.go
@@ -23,6 +23,8 @@
 	// A heartbeat alone is no such evidence: the path from the leader to the machine may be down.
 	lastContact micros.Time
 	lastRenewal micros.Time // last reply that may have renewed the agent lease
+	// leaseRestartedAt is when the agent was found to have restarted, which began a new agent lease; 0: never.
+	leaseRestartedAt micros.Time
 
 	lastReply             micros.Time // last reply not yet matched with the next heartbeat; 0: none
 	unacknowledgedReplies int         // consecutive replies that the next heartbeat showed to be lost
@@ -41,6 +43,9 @@
 // LastRenewal returns the time of the last reply that may have renewed the agent lease.
 func (c *Contact) LastRenewal() micros.Time { return c.lastRenewal }
 
+// LastLeaseStart returns the last time at which the agent lease may have been renewed or begun.
+func (c *Contact) LastLeaseStart() micros.Time { return max(c.lastRenewal, c.leaseRestartedAt) }
+
 // LastProbe returns the time of the last probe, or 0 if the machine may be probed immediately.
 func (c *Contact) LastProbe() micros.Time { return c.lastProbe }
 
@@ -66,6 +71,9 @@
 // Replied records a reply to a heartbeat; it renews the agent lease if it arrives.
 func (c *Contact) Replied(now micros.Time) { c.lastRenewal, c.lastReply = now, now }
 
+// LeaseRestarted records that the agent restarted at this time or before, which began a new agent lease.
+func (c *Contact) LeaseRestarted(now micros.Time) { c.leaseRestartedAt = now }
+
 // ObserveNextHeartbeat uses a newer heartbeat to determine what became of the reply to the previous
 // one, and reports whether that reply is known to have been received. The arrival of a heartbeat
 // does not prove that replies get through: a machine that sends heartbeats but cannot be answered
--- a/internal/coordination/agents/contact_test.go
+++ b/internal/coordination/agents/contact_test.go
@@ -143,3 +143,13 @@
 		t.Errorf("last probe at %d, want 0", contact.LastProbe())
 	}
 }
+
+func TestLeaseStartOfRestartedAgent(t *testing.T) {
+	contact := NewContact(0)
+	contact.Replied(5 * micros.Second)
+	contact.LeaseRestarted(9 * micros.Second)
+	if renewed, start := contact.LastRenewal(), contact.LastLeaseStart(); renewed != 5*micros.Second ||
+		start != 9*micros.Second {
+		t.Errorf("last renewal %d, lease start %d, want 5 s and 9 s", renewed, start)
+	}
+}
--- a/internal/coordination/attempt.go
+++ b/internal/coordination/attempt.go
@@ -18,6 +18,7 @@
 	state           messages.TaskState
 	persisted       bool // its result is stored, or there is none to store
 	startedHere     bool // started by this partition leader
+	forgetSent      bool // the agent was told to forget it
 	createdAt       micros.Time
 	runningSince    micros.Time
 	plannedDuration micros.Time
--- a/internal/coordination/command_log.go
+++ b/internal/coordination/command_log.go
@@ -48,14 +48,16 @@
 		"sequence", heartbeat.Sequence)
 }
 
-// logStartsAfterRestart logs the tasks that an agent has although it restarted within its lease: no command
-// was sent to it since, so copies of earlier ones started them.
+// logStartsAfterRestart logs the tasks that an agent has although it restarted within its lease and lost them:
+// copies of earlier commands started them again.
 func (p *partitionLeader) logStartsAfterRestart(m *machine, h *messages.Heartbeat) {
 	if m.decommissioned() {
 		return
 	}
 	for i := range h.Tasks {
-		p.logRepeatedStart(m, &h.Tasks[i], h)
+		if a := m.attempts[h.Tasks[i].AttemptID]; a == nil || a.start.reported {
+			p.logRepeatedStart(m, &h.Tasks[i], h)
+		}
 	}
 }
 
--- a/internal/coordination/failure_detector.go
+++ b/internal/coordination/failure_detector.go
@@ -99,8 +99,8 @@
 }
 
 // lastPossibleRenewal returns the latest time at which the machine's agent can have received a reply
-// that renewed its lease, from this partition leader or a former one. A former leader stops replying
-// when its term ends, or when its process died if that is known.
+// that renewed its lease, from this partition leader or a former one, or at which it restarted. A former
+// leader stops replying when its term ends, or when its process died if that is known.
 func (p *partitionLeader) lastPossibleRenewal(m *machine) micros.Time {
 	last := p.lease.acquiredAt
 	if m.record.Used {
@@ -112,7 +112,7 @@
 			last = max(last, end)
 		}
 	}
-	return max(last, m.contact.LastRenewal())
+	return max(last, m.contact.LastLeaseStart())
 }
 
 // checkZones probes machines of silent zones. If a zone became unreachable, the next status is sent
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -204,6 +204,11 @@
 		// list is not used.
 		return
 	}
+	if p.lostAttempts(m, h) {
+		p.logStartsAfterRestart(m, h)
+		p.drainRestarted(m)
+		return
+	}
 	p.reconcileTasks(m, h)
 	if !m.agent.Reconciled() {
 		m.agent.Reconcile()
@@ -234,10 +239,12 @@
 }
 
 // drainRestarted drains a machine whose agent restarted within its lease. Its epoch and sequence may
-// be lower than those seen before, so its heartbeats can no longer be ordered. Only the machine's
-// termination makes certain that its tasks have ended.
+// be lower than those seen before, so its heartbeats can no longer be ordered. It has seen no fencing token, so
+// copies of earlier commands may have started its tasks again. Only the machine's termination, or the end of the
+// lease that began with the restart, makes certain that they have ended.
 func (p *partitionLeader) drainRestarted(m *machine) {
 	if !m.decommissioned() {
+		m.contact.LeaseRestarted(p.core.now)
 		p.startDrain(m, drainAgentRestarted)
 	}
 }
@@ -281,7 +288,13 @@
 		}
 	}
 	slices.SortFunc(commands, func(a, b messages.Command) int { return a.Compare(b.AttemptID) })
-	return commands[:min(len(commands), maxCommandsPerMessage)]
+	commands = commands[:min(len(commands), maxCommandsPerMessage)]
+	for _, command := range commands {
+		if command.Operation == messages.Forget {
+			m.attempts[command.AttemptID].forgetSent = true
+		}
+	}
+	return commands
 }
 
 // forgettable reports whether the agent may forget an attempt, given the fencing token that it has
--- a/internal/coordination/reconciliation.go
+++ b/internal/coordination/reconciliation.go
@@ -58,6 +58,27 @@
 	return !a.stop.ordered || !a.start.fencedBy(acknowledged)
 }
 
+// lostAttempts reports whether a heartbeat lacks an attempt that the agent reported before and was not told to
+// forget. Only an agent that has restarted loses attempts within an epoch. Copies of earlier commands may have
+// told it the current fencing token since, so its token need not be lower than before.
+func (p *partitionLeader) lostAttempts(m *machine, h *messages.Heartbeat) bool {
+	missing := 0
+	for _, a := range m.attempts {
+		if a.remembered() {
+			missing++
+		}
+	}
+	for i := range h.Tasks {
+		if a := m.attempts[h.Tasks[i].AttemptID]; a != nil && a.remembered() {
+			missing--
+		}
+	}
+	return missing > 0
+}
+
+// remembered reports whether the agent has reported the attempt and was not told to forget it.
+func (a *attempt) remembered() bool { return a.start.reported && !a.forgetSent }
+
 // adoptAttempt takes over an attempt that this partition leader did not start.
 func (p *partitionLeader) adoptAttempt(m *machine, status *messages.TaskStatus) *attempt {
 	a := p.newAdoptedAttempt(m, status)
--- a/internal/coordination/reconciliation_test.go
+++ b/internal/coordination/reconciliation_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"testing"
 
 	"pipitlatch/internal/coordination/messages"
@@ -111,6 +112,7 @@
 	absent := anyRunningAttempt(t, m)
 	unresolved := unresolvedStart(p, m, 0)
 	h := nextHeartbeat(p, m)
+	h.Tasks = nil
 	for id := range m.attempts {
 		if id != absent.id && id != unresolved.id {
 			h.Tasks = append(h.Tasks, messages.TaskStatus{AttemptID: id, State: messages.Running})
@@ -127,3 +129,58 @@
 		t.Errorf("%d attempts, want the %d reported and one whose start may still arrive", len(m.attempts), len(h.Tasks))
 	}
 }
+
+// TestHeartbeatWithoutRunningAttemptShowsRestart checks that an agent which lost an attempt is given up, though a
+// copy of a command told it the current token, and that the task is not started elsewhere before.
+func TestHeartbeatWithoutRunningAttemptShowsRestart(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(a *attempt)
+		want   drainReason
+	}{
+		{"running", func(*attempt) {}, drainAgentRestarted},
+		{"exited, not to be forgotten yet", func(a *attempt) { a.state = messages.Exited }, drainAgentRestarted},
+		{"told to forget it", func(a *attempt) { a.state, a.forgetSent = messages.Exited, true }, notDraining},
+		{"never reported", func(a *attempt) { a.start.reported = false }, notDraining},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newLeaderInContact(t)
+			m := p.machines[7]
+			absent := anyRunningAttempt(t, m)
+			absent.start.reported = true
+			test.change(absent)
+			h := nextHeartbeat(p, m)
+			h.Tasks = slices.DeleteFunc(h.Tasks, func(s messages.TaskStatus) bool { return s.AttemptID == absent.id })
+			p.observeHeartbeat(m, h)
+			if m.drain.reason != test.want {
+				t.Errorf("drain reason %v, want %v", m.drain.reason, test.want)
+			}
+			pending := absent.job.pendingTasks.Has(absent.id.Task)
+			if test.want == drainAgentRestarted && (pending || m.attempts[absent.id] == nil) {
+				t.Error("task may be started elsewhere while copies of its start can be executed on the machine")
+			}
+		})
+	}
+}
+
+// TestLeaseOfRestartedAgentCountsFromRestart checks that the tasks of an agent which restarted late in its lease
+// are not started elsewhere at the end of that lease: copies of commands may have started them again.
+func TestLeaseOfRestartedAgentCountsFromRestart(t *testing.T) {
+	p := newLeaderInContact(t)
+	m := p.machines[7]
+	renewed, expiry := p.core.now, p.detector.AgentLeaseExpiry()
+	restarted := renewed + p.core.config.AgentLease() - micros.Second
+	p.core.now = restarted
+	p.drainRestarted(m)
+	for _, step := range []struct {
+		now  micros.Time
+		want bool
+	}{{renewed + expiry + micros.Second, false}, {restarted + expiry + micros.Second, true}} {
+		p.core.now = step.now
+		p.core.term.Confirm(step.now)
+		if got := p.agentLeaseExpired(m, p.suspicionTimeout()+1); got != step.want {
+			t.Errorf("lease expired: %v %d us after the restart, want %v", got, step.now-restarted, step.want)
+		}
+	}
+}
