--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -68,6 +68,7 @@
 	"store slow 0.4 for=%d",
 	"store lose-replies 0.3 for=%d",
 	"store commit-late 0.3 for=%d",
+	"store repeat-txns 0.5 by=90 for=%d",
 	"crash partition-leader back=%d",
 	"crash all back=%d",
 	"crash others back=%d",
--- a/internal/scenario/service_faults_test.go
+++ b/internal/scenario/service_faults_test.go
@@ -17,6 +17,7 @@
 	"slow":         storeSlow,
 	"lose-replies": storeLosesReplies,
 	"commit-late":  storeCommitsLate,
+	"repeat-txns":  storeRepeatsTransactions,
 }
 
 func parseStoreFault(l *line) (effect, error) {
@@ -104,6 +105,15 @@
 	}
 }
 
+// storeRepeatsTransactions carries out a share of transactions once more, up to by after they were answered.
+func storeRepeatsTransactions(l *line) effect {
+	share, by, length := l.argument(), l.seconds("by", 60), l.duration()
+	return func(w *World) {
+		w.store.faults.repeatedShare, w.store.faults.repeatDelay = share, by
+		w.after(length, func() { w.store.faults.repeatedShare = 0 })
+	}
+}
+
 // cloudFaults are what may befall the cloud, by the word after "cloud".
 var cloudFaults = map[string]func(*line) effect{
 	"down":        cloudDown,
--- a/internal/scenario/store_test.go
+++ b/internal/scenario/store_test.go
@@ -36,9 +36,11 @@
 	watches      []*pendingWatch
 	faults       storeFaultState
 	limits       storeLimitState
-	tooLarge     int                  // requests refused for their size
-	largest      map[string]writeSize // of the transactions carried out, by kind
-	loaded       *storage.Cache       // of records that an earlier deployment left
+	tooLarge     int // requests refused for their size
+	// repeatsApplied counts the transactions that took effect a second time, by the kinds of their writes.
+	repeatsApplied map[string]int
+	largest        map[string]writeSize // of the transactions carried out, by kind
+	loaded         *storage.Cache       // of records that an earlier deployment left
 }
 
 // leaseTable has the leases by their ids.
@@ -55,6 +57,8 @@
 	delay           micros.Time
 	lostReplyShare  float64                // of transactions: executed, but not answered
 	lateCommitShare float64                // of transactions: executed late, and not answered
+	repeatedShare   float64                // of transactions: executed again after they were answered
+	repeatDelay     micros.Time            // up to this much later
 	delayedKeys     map[string]micros.Time // transactions that set one are executed so much later, and not answered
 }
 
@@ -71,9 +75,10 @@
 func newKeyValueStore(sim *simulation, maxOperations, maxValueBytes int) *keyValueStore {
 	s := &keyValueStore{
 		sim: sim, keys: map[string]storedRecord{}, historyLimit: 10_000, largest: map[string]writeSize{},
-		leases: leaseTable{expiry: map[uint64]micros.Time{}, ttl: map[uint64]micros.Time{}},
-		faults: storeFaultState{refusedMembers: map[string]bool{}, delayedKeys: map[string]micros.Time{}},
-		limits: storeLimitState{maxOperations: maxOperations, maxValueBytes: maxValueBytes},
+		repeatsApplied: map[string]int{},
+		leases:         leaseTable{expiry: map[uint64]micros.Time{}, ttl: map[uint64]micros.Time{}},
+		faults:         storeFaultState{refusedMembers: map[string]bool{}, delayedKeys: map[string]micros.Time{}},
+		limits:         storeLimitState{maxOperations: maxOperations, maxValueBytes: maxValueBytes},
 	}
 	s.expireLeases()
 	return s
--- a/internal/scenario/store_transactions_test.go
+++ b/internal/scenario/store_transactions_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 
 	"pipitlatch/internal/micros"
@@ -38,9 +40,25 @@
 		})
 	default:
 		reply(s.commit(body))
+		s.repeatLater(body)
 	}
 }
 
+// repeatLater carries a transaction that was answered out once more. Nobody waits for that answer.
+func (s *keyValueStore) repeatLater(body []byte) {
+	if s.faults.repeatedShare <= 0 || s.sim.random.Float64() >= s.faults.repeatedShare {
+		return
+	}
+	s.sim.after(s.sim.random.Int64N(int64(s.faults.repeatDelay)), func() {
+		if s.faults.down {
+			return
+		}
+		if status, _ := s.commit(body); status == 200 {
+			s.repeatsApplied[writeKindsOf(body)]++
+		}
+	})
+}
+
 // commitDelay is how much later a transaction is carried out, by the keys that it sets.
 func (s *keyValueStore) commitDelay(body []byte) micros.Time {
 	var t transaction
@@ -139,6 +157,23 @@
 	}
 }
 
+// writeKindsOf names what a transaction sets and deletes, each kind once.
+func writeKindsOf(body []byte) string {
+	var t transaction
+	if json.Unmarshal(body, &t) != nil {
+		return "malformed"
+	}
+	kinds := map[string]bool{}
+	for _, x := range t.Writes {
+		if x.Delete != "" {
+			kinds["delete "+recordKind(x.Delete)] = true
+		} else {
+			kinds["set "+recordKind(x.Set)] = true
+		}
+	}
+	return strings.Join(slices.Sorted(maps.Keys(kinds)), ", ")
+}
+
 // writeSize is how large a transaction is in everything that the service limits.
 type writeSize struct{ operations, compares, value, body int }
 
