--- a/internal/coordination/reconciliation.go
+++ b/internal/coordination/reconciliation.go
@@ -37,7 +37,7 @@
 		if reported[id] || a.startMayArrive(m.agent.AcknowledgedToken()) {
 			continue
 		}
-		delete(m.attempts, id)
+		a.unindex()
 		m.commands.RemoveAttempt(id)
 		p.release(a)
 		p.requeue(a)
@@ -61,7 +61,7 @@
 // lostAttempts reports whether a heartbeat lacks an attempt that the agent reported before and was not told to
 // forget. Only an agent that has restarted loses attempts within an epoch. Copies of earlier commands may have
 // told it the current fencing token since, so its token need not be lower than before.
-func (p *partitionLeader) lostAttempts(m *machine, h *messages.Heartbeat) bool {
+func (m *machine) lostAttempts(h *messages.Heartbeat) bool {
 	missing := 0
 	for _, a := range m.attempts {
 		if a.remembered() {
