--- a/internal/scenario/actions_test.go
+++ b/internal/scenario/actions_test.go
@@ -23,6 +23,7 @@
 	"pause":           parsePause,
 	"isolate":         parseIsolate,
 	"cut":             parseCut,
+	"repeat-statuses": parseRepeatStatuses,
 	"store":           parseStoreFault,
 	"cloud":           parseCloudFault,
 	"agent":           parseAgentFault,
@@ -167,6 +168,15 @@
 	}, nil
 }
 
+// parseRepeatStatuses has the messages between controllers arrive once more, up to by later.
+func parseRepeatStatuses(l *line) (effect, error) {
+	by, length := l.seconds("by", 30), l.duration()
+	return func(w *World) {
+		w.network.statusRepeatDelay = by
+		w.after(length, func() { w.network.statusRepeatDelay = 0 })
+	}, nil
+}
+
 // parseIsolate cuts controllers from the store and from their peers, not from agents and users.
 func parseIsolate(l *line) (effect, error) {
 	target, hold, length := l.word(1), l.word(2) == "hold", l.duration()
--- a/internal/scenario/controller_test.go
+++ b/internal/scenario/controller_test.go
@@ -193,11 +193,15 @@
 	if o == nil {
 		return
 	}
-	n.w.send(n.name, o.name, func() {
+	receive := func() {
 		if s, err := protocol.DecodePeerStatus(raw); err == nil {
 			o.step(s)
 		}
-	})
+	}
+	n.w.send(n.name, o.name, receive)
+	if by := n.w.network.statusRepeatDelay; by > 0 {
+		n.w.after(n.w.random.Int64N(int64(by)), receive)
+	}
 }
 
 // call sends a request and hands in the answer, or status 0 after the timeout.
--- a/internal/scenario/network_test.go
+++ b/internal/scenario/network_test.go
@@ -22,6 +22,8 @@
 	cuts           []*cut
 	interZoneDelay micros.Time // one way
 	zoned          bool        // controllers are in zones too
+
+	statusRepeatDelay micros.Time // messages between controllers arrive again up to this late; 0: once
 }
 
 // cut is an interruption between two hosts, or between one host and all others. An
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -101,6 +101,7 @@
 	"agent any restart back=0.3",
 	"agent all restart back=0.2",
 	"pause others for=%d",
+	"repeat-statuses by=30 for=%d",
 	"pause all for=%d",
 	"agent third die",
 	"agent half hang for=%d",
