Tests of the token that a moved machine requires, and of stopped starts without a reply

Before an agent got commands only after it had acknowledged exactly the partition's token, so a machine that moved here from another partition was covered by the tests of that. TestStoppedStartWithoutReplyIsOverWhenRejected has the branch of startMayArrive that TestStartMayArrive lacks; it fails without the token in it. Both pass on the code, which is unchanged.

--- a/internal/coordination/token_renewal_test.go
+++ b/internal/coordination/token_renewal_test.go
@@ -162,3 +162,48 @@
 		t.Errorf("schedulable with %d exited attempts", maxExitedAttempts)
 	}
 }
+
+// TestTransferredMachineRequiresTokenOfTransfer checks that a machine that moved to this partition gets no commands
+// before its agent rejects those of the other partition's leader, whose tokens may be higher than that of this lease.
+func TestTransferredMachineRequiresTokenOfTransfer(t *testing.T) {
+	p := newLeaderInContact(t)
+	template := p.machines[7]
+	transferred := template.modRevision + 1000
+	record := p.core.cache.Partitions[0]
+	record.ModRevision = transferred
+	p.core.cache.Partitions[0] = record
+	p.renewToken(transferred)
+	p.addMachine("vm-900000", storage.Versioned[storage.Machine]{Value: template.record, ModRevision: transferred})
+	m := p.machine("vm-900000")
+	m.address = "10.1.0.9:9000"
+	h := &messages.Heartbeat{
+		Machine: m.id, AgentEpoch: 1, Sequence: 1, FencingToken: transferred - 1, PreemptionNotice: -1,
+		Tasks: []messages.TaskStatus{{AttemptID: messages.AttemptID{Job: "x", Number: 1}, State: messages.Running}},
+	}
+	p.observeHeartbeat(m, h)
+	m.commands.Add(messages.Command{Operation: messages.Stop})
+	p.sendBatch(m)
+	if p.schedulable(m) || len(p.core.output.AgentCalls) != 0 || len(m.attempts) != 0 || p.replyToken(m) != transferred {
+		t.Errorf("schedulable %v, %d calls, %d attempts, reply under %d, with an agent that accepts the other leader's",
+			p.schedulable(m), len(p.core.output.AgentCalls), len(m.attempts), p.replyToken(m))
+	}
+	h.Sequence, h.FencingToken = 2, transferred
+	p.observeHeartbeat(m, h)
+	p.sendBatch(m)
+	if len(p.core.output.AgentCalls) != 1 || len(m.attempts) != 1 {
+		t.Errorf("%d calls, %d attempts after the agent acknowledged the transfer's token, want 1 and 1",
+			len(p.core.output.AgentCalls), len(m.attempts))
+	}
+}
+
+// TestStoppedStartWithoutReplyIsOverWhenRejected checks that a stopped start without a reply may arrive until the agent
+// has acknowledged a higher token.
+func TestStoppedStartWithoutReplyIsOverWhenRejected(t *testing.T) {
+	const token = 5
+	for acknowledged, want := range map[uint64]bool{token - 1: true, token: true, token + 1: false} {
+		a := &attempt{start: startState{sent: true, unanswered: 1, token: token}, stop: stopState{ordered: true}}
+		if got := a.startMayArrive(acknowledged); got != want {
+			t.Errorf("startMayArrive = %v with an agent that acknowledged %d, want %v", got, acknowledged, want)
+		}
+	}
+}
