End no attempt by time alone whose start was sent: its agent may have restarted unseen

Cause: the end of an agent's lease was counted from this leader's own last reply. What was learned of a former process was taken to hold for the present one.

Change: the end of the last known lease revokes the starts that were never sent, and ends no other attempt. Those wait until the cloud confirmed the termination or a heartbeat of a later epoch arrives. A silent machine whose tasks wait is terminated after two leases instead of three, where most of the fleet is silent. A machine whose tasks are unknown after a failover keeps all older jobs waiting: there time still decides, with one more lease, for one unseen restart.

--- a/internal/coordination/attempt.go
+++ b/internal/coordination/attempt.go
@@ -151,6 +151,16 @@
 	a.machine.commands.Add(messages.Command{Operation: messages.Stop, AttemptID: a.id, GracePeriod: gracePeriod})
 }
 
+// revokeUnsentStarts cancels the attempts on a machine whose start commands were not sent yet, so that their tasks
+// can be started elsewhere.
+func (p *partitionLeader) revokeUnsentStarts(m *machine) {
+	for _, id := range sortedAttempts(m) {
+		if a := m.attempts[id]; !a.start.sent && a.state != messages.Exited {
+			p.revoke(a)
+		}
+	}
+}
+
 // revoke cancels an attempt whose start command was not sent yet.
 func (p *partitionLeader) revoke(a *attempt) {
 	p.release(a)
--- a/internal/coordination/machine_health.go
+++ b/internal/coordination/machine_health.go
@@ -15,6 +15,11 @@
 	// bootMargin is added to three times the boot time of an instance type to give the boot timeout
 	// of its machines.
 	bootMargin = 10 * micros.Second
+	// silentLeases is the number of agent leases after which a silent machine without tasks is terminated, even
+	// if most of the fleet is silent.
+	silentLeases = 3
+	// silentLeasesWithTasks is the same for a machine with tasks, which wait for the termination.
+	silentLeasesWithTasks = 2
 	// recoverySilence is how recently an unresponsive machine must have been in contact for its drain
 	// to end.
 	recoverySilence = micros.Second
@@ -28,9 +33,7 @@
 	}
 	silence := p.detector.Silence(p.core.now, m.contact.LastContact())
 	if p.agentLeaseExpired(m, silence) {
-		p.core.log(messages.LevelInfo, "agent lease expired", "machine", m.id)
-		p.clearAttempts(m)
-		m.agent.ExpireLease()
+		p.endAgentLease(m)
 	}
 	if p.needsProbe(m, silence) {
 		p.probeQueue = append(p.probeQueue, m)
@@ -50,16 +53,39 @@
 	}
 }
 
-// agentLeaseExpired reports whether the agent lease is certain to have expired since the last contact
-// with the machine, which means that all its tasks have ended. An isolated partition leader may have
-// been replaced long before its term ends, and its successor may be replying to a machine that is
-// silent here. Therefore this process's leadership must have been confirmed after the lease expired:
-// only that rules out that another leader renewed it.
+// agentLeaseExpired reports whether the last agent lease that this process knows of is certain to have expired
+// since the last contact with the machine. An isolated partition leader may have been replaced long before its term
+// ends, and its successor may be replying to a machine that is silent here. Therefore this process's leadership must
+// have been confirmed after the lease expired: only that rules out that another leader renewed it.
 func (p *partitionLeader) agentLeaseExpired(m *machine, silence micros.Time) bool {
 	return m.inUse() &&
 		!m.agent.LeaseExpired() &&
-		p.core.term.ConfirmedSince(p.lastPossibleRenewal(m)+p.detector.AgentLeaseExpiry()) &&
-		silence > p.suspicionTimeout()
+		silence > p.suspicionTimeout() &&
+		p.core.term.ConfirmedSince(p.lastPossibleLeaseStart(m)+p.detector.AgentLeaseExpiry())
+}
+
+// lastPossibleLeaseStart returns the latest time at which the machine's agent can have begun or renewed its lease,
+// as far as time can tell. The tasks of a machine that is not reconciled are unknown, and keep all older jobs waiting.
+// Its agent may have restarted once before its lease expired; a further restart is not waited for.
+func (p *partitionLeader) lastPossibleLeaseStart(m *machine) micros.Time {
+	start := p.lastPossibleRenewal(m)
+	if !m.agent.Reconciled() {
+		start += p.core.config.AgentLease()
+	}
+	return start
+}
+
+// endAgentLease records that the last known agent lease of a silent machine expired. This ends no attempt whose start
+// was sent: the agent may have restarted unseen, which began another lease, and may have executed a copy of the start
+// since. Such attempts wait until the machine is terminated or heard again.
+func (p *partitionLeader) endAgentLease(m *machine) {
+	p.revokeUnsentStarts(m)
+	if m.hasActiveAttempts() {
+		return
+	}
+	p.core.log(messages.LevelInfo, "agent lease expired", "machine", m.id)
+	p.clearAttempts(m)
+	m.agent.ExpireLease()
 }
 
 // needsProbe reports whether the machine should be asked for a heartbeat now: it did not answer the
@@ -123,11 +149,17 @@
 		p.networkRuledOut(m)
 }
 
-// silentSinceLeaseExpiry reports whether the machine has been silent for a long time and its tasks
-// have ended with its agent lease. A fault of the network near this controller would have been
+// silentSinceLeaseExpiry reports whether the machine has been silent for a long time and its last known agent lease
+// has expired. A fault of the network near this controller would have been
 // detected by now.
 func (p *partitionLeader) silentSinceLeaseExpiry(m *machine, silence micros.Time) bool {
-	return m.inUse() && m.agent.LeaseExpired() && silence > 3*p.detector.AgentLeaseExpiry()
+	if !m.inUse() {
+		return false
+	}
+	if m.agent.LeaseExpired() {
+		return silence > silentLeases*p.detector.AgentLeaseExpiry()
+	}
+	return p.agentLeaseExpired(m, silence) && silence > silentLeasesWithTasks*p.detector.AgentLeaseExpiry()
 }
 
 // unresponsiveAfterPreemption reports whether the cloud should have preempted the machine by now and
--- a/internal/coordination/machine_health_test.go
+++ b/internal/coordination/machine_health_test.go
@@ -346,6 +346,36 @@
 	})
 }
 
+// TestExpiredLeaseEndsNoSentStart guards against a task that is started elsewhere while a copy of its start may run
+// on an agent that restarted unseen.
+func TestExpiredLeaseEndsNoSentStart(t *testing.T) {
+	p := newLeaderInContact(t)
+	m := p.machines[7]
+	sent := anyRunningAttempt(t, m)
+	unsent := &attempt{id: sent.id, machine: m, job: sent.job, state: messages.Fetching}
+	unsent.id.Number++
+	unsent.index()
+	p.reserve(unsent)
+	silentFor(p, m, silentLeasesWithTasks*p.core.config.AgentLeaseExpiry()+micros.Second, 2)
+	p.checkMachine(m)
+	if m.attempts[sent.id] == nil || m.agent.LeaseExpired() {
+		t.Error("an attempt whose start was sent ended with the lease")
+	}
+	if m.attempts[unsent.id] != nil {
+		t.Error("an attempt whose start was never sent was kept")
+	}
+	if m.drain.reason != drainUnresponsive || !p.readyForTermination(m) {
+		t.Errorf("machine whose tasks wait is not terminated: %v", m.drain.reason)
+	}
+	for _, a := range m.attempts {
+		a.state = messages.Exited
+	}
+	p.checkMachine(m)
+	if !m.agent.LeaseExpired() {
+		t.Error("the lease of a machine without tasks does not expire")
+	}
+}
+
 func TestRecovered(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/internal/coordination/partition_status.go
+++ b/internal/coordination/partition_status.go
@@ -53,7 +53,8 @@
 func (p *partitionLeader) unresponsivenessInDoubt(m *machine) bool {
 	return m.drain.reason == drainUnresponsive &&
 		(p.detector.NetworkSuspected(p.core.now) || p.detector.ZoneVerdictPending(p.core.now, m.record.Zone)) &&
-		!m.agent.LeaseExpired()
+		!m.agent.LeaseExpired() &&
+		!p.agentLeaseExpired(m, p.detector.Silence(p.core.now, m.contact.LastContact()))
 }
 
 // readyForTermination reports whether the machine drains and can be terminated now, because its tasks
