Treat a machine whose restart was seen as unknown: no starts, no reconciliation, no expiry

Callers saw one task on two machines. A machine that drained as 'agent restarted' was still sent queued and retried starts, and its heartbeats were reconciled: a late copy of one of the former process ended an attempt whose start the present process had just executed.

Cause: epoch, sequence, token and reconciliation of the former process were kept for the present one.

Change: agents.HeartbeatState discards all it knows of the process on any sign of a restart (Restart), also on a machine that drains for another reason. The machine's starts that were not sent are revoked, queued ones dropped, none is retried; stops still go out, since they are harmless to any process. Its tasks start elsewhere only once the termination is confirmed.

TestRestartedAgentGetsNoStart fails without the guard in observeHeartbeat.

--- a/internal/coordination/agent_calls.go
+++ b/internal/coordination/agent_calls.go
@@ -81,10 +81,12 @@
 
 // sendBatch sends a machine the commands at the front of its queue, if its agent has acknowledged the
 // machine's required token and may be called now. The call carries the current token, which the agent
-// acknowledges with its reply.
+// acknowledges with its reply. An agent that restarted is only sent stops, which any process may execute.
 func (p *partitionLeader) sendBatch(m *machine) {
-	if !m.commands.Ready(p.core.now) ||
-		!m.agent.Acknowledged(m.requiredToken) || !m.agent.HasHeartbeat() || m.address == "" {
+	if !m.commands.Ready(p.core.now) || !m.agent.HasHeartbeat() || m.address == "" {
+		return
+	}
+	if !m.agent.Restarted() && !m.agent.Acknowledged(m.requiredToken) {
 		return
 	}
 	batch := m.commands.TakeBatch(maxCommandsPerMessage)
@@ -162,8 +164,7 @@
 	case !c.position.Before(heartbeat):
 		// The agent replied after the call was sent, but its position is not newer than the one known
 		// before: the agent has restarted.
-		p.logStartsAfterRestart(m, heartbeat)
-		p.drainRestarted(m)
+		p.drainRestarted(m, heartbeat)
 	default:
 		m.contact.Reached(p.core.now)
 		p.observeHeartbeat(m, heartbeat)
@@ -211,7 +212,7 @@
 		if a == nil || a.state == messages.Exited {
 			continue
 		}
-		if command.Operation == messages.Start && (a.stop.ordered || a.start.reported) {
+		if command.Operation == messages.Start && (a.stop.ordered || a.start.reported || m.agent.Restarted()) {
 			continue
 		}
 		commands = append(commands, command)
--- a/internal/coordination/agent_calls_test.go
+++ b/internal/coordination/agent_calls_test.go
@@ -172,3 +172,37 @@
 		})
 	}
 }
+
+// TestRestartedAgentGetsNoStart guards against starts on a machine whose restart was seen, by whatever path.
+func TestRestartedAgentGetsNoStart(t *testing.T) {
+	for _, reason := range []drainReason{notDraining, drainUnresponsive, drainKillTimeout} {
+		p := newLeaderInContact(t)
+		m := p.machines[7]
+		sent, call := startInFlight(t, p, m)
+		queued := &attempt{id: messages.AttemptID{Job: "x", Number: 100}, machine: m}
+		m.attempts[queued.id] = queued
+		m.commands.Add(messages.Command{Operation: messages.Start, AttemptID: queued.id})
+		m.drain.reason = reason
+		former, fresh := nextHeartbeat(p, m), nextHeartbeat(p, m)
+		former.Sequence += 50
+		fresh.Sequence = 0
+		agentCall{leader: p, machine: m, batch: call.Commands, position: m.agent.Position()}.completed(
+			&messages.AgentReply{Executed: true, Heartbeat: fresh})
+		if m.attempts[queued.id] != nil || !m.decommissioned() {
+			t.Errorf("%v: start that was not sent is kept, or the machine is in use: %v", reason, m.drain.reason)
+		}
+		p.observeHeartbeat(m, former)
+		if m.attempts[sent.id] == nil {
+			t.Errorf("%v: a heartbeat that may come from the former process ended an attempt", reason)
+		}
+		m.commands.EndDelay()
+		p.core.output = &messages.Output{}
+		p.sendBatch(m)
+		p.stopAttempt(sent, reasonPreempted, 0)
+		p.sendBatch(m)
+		calls := p.core.output.AgentCalls
+		if len(calls) != 1 || len(calls[0].Commands) != 1 || calls[0].Commands[0].Operation != messages.Stop {
+			t.Errorf("%v: calls %+v, want one with a stop", reason, calls)
+		}
+	}
+}
--- a/internal/coordination/agents/commands.go
+++ b/internal/coordination/agents/commands.go
@@ -24,6 +24,11 @@
 	q.pending = slices.DeleteFunc(q.pending, func(c messages.Command) bool { return c.AttemptID == id })
 }
 
+// RemoveStarts removes all queued start commands.
+func (q *CommandQueue) RemoveStarts() {
+	q.pending = slices.DeleteFunc(q.pending, func(c messages.Command) bool { return c.Operation == messages.Start })
+}
+
 // Clear removes all queued commands.
 func (q *CommandQueue) Clear() { q.pending = nil }
 
--- a/internal/coordination/agents/heartbeat_state.go
+++ b/internal/coordination/agents/heartbeat_state.go
@@ -26,6 +26,10 @@
 	nextTimedOutSequence uint64
 	timedOutSequenceAt   micros.Time // when the two were last updated
 
+	// restarted is set once the agent was seen to have restarted within an epoch. Heartbeats of its former and
+	// present processes cannot be told apart any more.
+	restarted bool
+
 	reconciled   bool // its tasks are known, or it is certain to have none
 	leaseExpired bool // the agent lease expired or its epoch ended: no tasks until the next epoch
 }
@@ -101,6 +105,23 @@
 		s.highestToken >= acquiredToken
 }
 
+// Restart discards what is known of the agent's process, since it restarted within an epoch: nothing that the
+// former process acknowledged holds for the present one. Only commands that are harmless to any process may be
+// sent to it from now on, under the given epoch.
+func (s *HeartbeatState) Restart(epoch uint64) {
+	*s = HeartbeatState{
+		position:        Position{Epoch: epoch},
+		bootedAt:        s.bootedAt,
+		lastHeartbeatAt: s.lastHeartbeatAt,
+		reconciled:      s.reconciled,
+		leaseExpired:    s.leaseExpired,
+		restarted:       true,
+	}
+}
+
+// Restarted reports whether the agent was seen to have restarted within an epoch.
+func (s *HeartbeatState) Restarted() bool { return s.restarted }
+
 // BeginEpoch records the start of a new epoch: the agent's lease ended, and the agent killed and
 // discarded all tasks of the previous epoch. This does not make the agent reconciled, as a former
 // leader may have started other tasks since.
--- a/internal/coordination/agents/heartbeat_state_test.go
+++ b/internal/coordination/agents/heartbeat_state_test.go
@@ -252,3 +252,18 @@
 			state.LeaseExpired(), state.Reconciled(), state.Acknowledged(5))
 	}
 }
+
+// TestRestartDiscardsProcess guards against a right of the former process that is taken to hold for the present one.
+func TestRestartDiscardsProcess(t *testing.T) {
+	state := observed(t, 3, 4)
+	state.Acknowledge(5)
+	state.Reconcile()
+	state.Restart(1)
+	if state.Usable(5) || state.Acknowledged(5) || !state.Restarted() || state.Epoch() != 1 {
+		t.Errorf("usable %v, acknowledged %v, restarted %v, epoch %d after a restart",
+			state.Usable(5), state.Acknowledged(5), state.Restarted(), state.Epoch())
+	}
+	if !state.Reconciled() {
+		t.Error("a restart makes the attempts known for the machine unknown")
+	}
+}
--- a/internal/coordination/command_log.go
+++ b/internal/coordination/command_log.go
@@ -51,9 +51,6 @@
 // logStartsAfterRestart logs the tasks that an agent has although it restarted within its lease and lost them:
 // copies of earlier commands started them again.
 func (p *partitionLeader) logStartsAfterRestart(m *machine, h *messages.Heartbeat) {
-	if m.decommissioned() {
-		return
-	}
 	for i := range h.Tasks {
 		if a := m.attempts[h.Tasks[i].AttemptID]; a == nil || a.start.reported {
 			p.logRepeatedStart(m, &h.Tasks[i], h)
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -14,6 +14,8 @@
 	ignoredStaleCopy ignoreReason = "stale copy"
 	// ignoredEndedEpoch: the agent lease expired after the heartbeat was sent.
 	ignoredEndedEpoch ignoreReason = "ended agent epoch"
+	// ignoredRestarted: the agent has restarted, so the heartbeat may come from its former process.
+	ignoredRestarted ignoreReason = "agent restarted"
 )
 
 // routeHeartbeat passes a heartbeat to the leader of its machine's partition if that leader runs in
@@ -139,12 +141,15 @@
 // observeHeartbeat updates the state of a machine from a heartbeat, whether the agent sent it on its
 // own or in reply to a call.
 func (p *partitionLeader) observeHeartbeat(m *machine, h *messages.Heartbeat) {
+	if m.agent.Restarted() {
+		p.logIgnoredHeartbeat(ignoredRestarted, m, h)
+		return
+	}
 	if !m.agent.IsNewer(h) {
 		return
 	}
 	if m.agent.ShowsRestart(h, p.lease.acquiredToken) {
-		p.logStartsAfterRestart(m, h)
-		p.drainRestarted(m)
+		p.drainRestarted(m, h)
 		return
 	}
 	if h.AgentEpoch > m.agent.Epoch() {
@@ -169,8 +174,7 @@
 		return
 	}
 	if m.lostAttempts(h) {
-		p.logStartsAfterRestart(m, h)
-		p.drainRestarted(m)
+		p.drainRestarted(m, h)
 		return
 	}
 	p.reconcileTasks(m, h)
@@ -202,13 +206,20 @@
 	p.plan.stale = true
 }
 
-// drainRestarted drains a machine whose agent restarted within its lease. Its epoch and sequence may
-// be lower than those seen before, so its heartbeats can no longer be ordered. It has seen no fencing token, so
-// copies of earlier commands may have started its tasks again. Only the machine's termination, or the end of the
-// lease that began with the restart, makes certain that they have ended.
-func (p *partitionLeader) drainRestarted(m *machine) {
+// drainRestarted drains a machine whose agent restarted within its lease, as a heartbeat shows. Its epoch and
+// sequence may be lower than those seen before, so its heartbeats can no longer be ordered. It has seen no fencing
+// token, so copies of earlier commands may have started its tasks again, and it may restart once more unseen. Only
+// the machine's termination makes certain that its tasks have ended.
+func (p *partitionLeader) drainRestarted(m *machine, h *messages.Heartbeat) {
+	if m.agent.Restarted() {
+		return
+	}
+	p.logStartsAfterRestart(m, h)
+	p.revokeUnsentStarts(m)
+	m.commands.RemoveStarts()
+	m.agent.Restart(h.AgentEpoch)
+	m.contact.LeaseRestarted(p.core.now)
 	if !m.decommissioned() {
-		m.contact.LeaseRestarted(p.core.now)
 		p.startDrain(m, drainAgentRestarted)
 	}
 }
--- a/internal/coordination/reconciliation_test.go
+++ b/internal/coordination/reconciliation_test.go
@@ -172,7 +172,7 @@
 	renewed, expiry := p.core.now, p.detector.AgentLeaseExpiry()
 	restarted := renewed + p.core.config.AgentLease() - micros.Second
 	p.core.now = restarted
-	p.drainRestarted(m)
+	p.drainRestarted(m, nextHeartbeat(p, m))
 	for _, step := range []struct {
 		now  micros.Time
 		want bool
