Log and count on which evidence attempts end; draw restarts inside cuts with held-up starts

Now 'attempts ended' says on which evidence (not started, later agent epoch, machine removed ...), under which epoch, sequence and acknowledged token, and how long the machine had been silent; pipitlatch_attempts_ended_total counts them, pipitlatch_silent_machine_replica_seconds_total the time that replicas waited for silent machines.

TestDrawnFaults draws a cut in which commands are held up, answered calls come again and agents restart.

--- a/internal/coordination/command_log.go
+++ b/internal/coordination/command_log.go
@@ -35,6 +35,25 @@
 		"revision_age_ms", p.core.term.SinceConfirmed(p.core.now)/micros.Millisecond)
 }
 
+// logEnd logs and counts attempts on a machine that are taken as over, with the evidence, and for how long the
+// machine has been silent. Their tasks may be started elsewhere from now on.
+func (p *partitionLeader) logEnd(m *machine, evidence messages.EndEvidence, ended []messages.AttemptID) {
+	if len(ended) == 0 {
+		return
+	}
+	p.core.metrics.AttemptsEnded[evidence] += uint64(len(ended))
+	p.core.log(messages.LevelInfo, "attempts ended",
+		"machine", m.id,
+		"evidence", evidence,
+		"attempts", messages.AttemptList(ended),
+		"silence_ms", (p.core.now-m.contact.LastContact())/micros.Millisecond,
+		"agent_epoch", m.agent.Epoch(),
+		"sequence", m.agent.Position().Sequence,
+		"acknowledged_token", m.agent.AcknowledgedToken(),
+		"agent_restarted", m.agent.Restarted(),
+		"drain", m.drain.reason)
+}
+
 // logRejectedCall logs a call whose commands the agent rejected, because it has seen a higher fencing token
 // or is in another epoch.
 func (c agentCall) logRejectedCall(heartbeat *messages.Heartbeat) {
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -200,7 +200,7 @@
 // forgot all its tasks.
 func (p *partitionLeader) beginEpoch(m *machine, epoch uint64) {
 	if m.agent.HasHeartbeat() {
-		p.clearAttempts(m)
+		p.clearAttempts(m, messages.EndLaterEpoch)
 	}
 	m.agent.BeginEpoch(epoch, p.core.now)
 	p.plan.stale = true
--- a/internal/coordination/heartbeats_test.go
+++ b/internal/coordination/heartbeats_test.go
@@ -116,7 +116,7 @@
 func TestHeartbeatAfterLeaseExpiry(t *testing.T) {
 	p := newLeaderInContact(t)
 	m := p.machines[7]
-	p.clearAttempts(m)
+	p.clearAttempts(m, messages.EndLeaseExpired)
 	m.agent.ExpireLease()
 	h := nextHeartbeat(p, m)
 	h.Tasks = []messages.TaskStatus{{AttemptID: messages.AttemptID{Job: "x", Number: 99}, State: messages.Running}}
--- a/internal/coordination/machine_health.go
+++ b/internal/coordination/machine_health.go
@@ -84,7 +84,7 @@
 		return
 	}
 	p.core.log(messages.LevelInfo, "agent lease expired", "machine", m.id)
-	p.clearAttempts(m)
+	p.clearAttempts(m, messages.EndLeaseExpired)
 	m.agent.ExpireLease()
 }
 
--- a/internal/coordination/messages/agents.go
+++ b/internal/coordination/messages/agents.go
@@ -135,9 +135,19 @@
 
 // String returns the commands in order. The log calls it only for records that are written.
 func (l CommandList) String() string {
-	texts := make([]string, len(l))
-	for i, c := range l {
-		texts[i] = c.String()
+	return joinTexts(l)
+}
+
+// AttemptList is a list of attempts, as an attribute of a log record.
+type AttemptList []AttemptID
+
+// String returns the attempts in order. The log calls it only for records that are written.
+func (l AttemptList) String() string { return joinTexts(l) }
+
+func joinTexts[T fmt.Stringer](list []T) string {
+	texts := make([]string, len(list))
+	for i, item := range list {
+		texts[i] = item.String()
 	}
 	return strings.Join(texts, ", ")
 }
--- a/internal/coordination/partition.go
+++ b/internal/coordination/partition.go
@@ -222,21 +222,30 @@
 	if m.record.Spot && m.agent.HasHeartbeat() && (m.drain.reason == drainUnresponsive || m.lifecycle.preemptAt != 0) {
 		p.core.spot.losses++
 	}
-	p.clearAttempts(m)
+	p.clearAttempts(m, messages.EndMachineRemoved)
 	p.machines = slices.DeleteFunc(p.machines, func(other *machine) bool { return other == m })
 	p.core.faults.ForgetMachine(id)
 	p.plan.stale = true
 	p.core.log(messages.LevelInfo, "machine terminated", "machine", id, "reason", m.drain.reason)
 }
 
-// clearAttempts ends all known attempts of a machine that certainly no longer runs any of them.
-func (p *partitionLeader) clearAttempts(m *machine) {
+// clearAttempts ends all known attempts of a machine that certainly no longer runs any of them, as the evidence
+// shows.
+func (p *partitionLeader) clearAttempts(m *machine, evidence messages.EndEvidence) {
+	var ended []messages.AttemptID
 	for _, id := range sortedAttempts(m) {
 		a := m.attempts[id]
+		if a.state != messages.Exited {
+			ended = append(ended, id)
+			if p.isService(id.Job) {
+				p.core.metrics.ReplicaWait += p.core.now - m.contact.LastContact()
+			}
+		}
 		p.release(a)
 		p.requeue(a)
 		a.unindex()
 	}
+	p.logEnd(m, evidence, ended)
 	m.commands.Clear()
 	if m.lifecycle.idleSince == 0 {
 		m.lifecycle.idleSince = p.core.now
--- a/internal/coordination/reconciliation.go
+++ b/internal/coordination/reconciliation.go
@@ -32,16 +32,21 @@
 // may still arrive. The agent was told to forget them, or, if they were never reported, did not
 // start them.
 func (p *partitionLeader) removeAbsentAttempts(m *machine, reported map[messages.AttemptID]bool) {
+	var ended []messages.AttemptID
 	for _, id := range sortedAttempts(m) {
 		a := m.attempts[id]
 		if reported[id] || a.startMayArrive(m.agent.AcknowledgedToken()) {
 			continue
 		}
+		if a.state != messages.Exited {
+			ended = append(ended, id)
+		}
 		a.unindex()
 		m.commands.RemoveAttempt(id)
 		p.release(a)
 		p.requeue(a)
 	}
+	p.logEnd(m, messages.EndNotStarted, ended)
 }
 
 // startMayArrive reports whether the agent may still execute the start command of an attempt that its
@@ -196,6 +201,7 @@
 
 // observeExit handles the exit of an attempt.
 func (p *partitionLeader) observeExit(a *attempt, reason messages.ExitReason) {
+	p.core.metrics.AttemptsEnded[messages.EndReported]++
 	p.release(a)
 	p.plan.stale = true
 	switch {
--- a/internal/scenario/agent_faults_test.go
+++ b/internal/scenario/agent_faults_test.go
@@ -1,6 +1,10 @@
 package scenario
 
-import "fmt"
+import (
+	"fmt"
+
+	"pipitlatch/internal/micros"
+)
 
 // agentFault is what befalls one machine or its agent.
 type agentFault func(*World, *machine)
@@ -16,6 +20,7 @@
 	"replay-heartbeats":    replayHeartbeats,
 	"duplicate-heartbeats": duplicateHeartbeats,
 	"restart":              agentRestarts,
+	"restart-in-cut":       agentRestartsInCut,
 	"delay-commands":       delayCommands,
 	"repeat-commands":      repeatCommands,
 	"slow":                 agentSlow,
@@ -83,6 +88,18 @@
 	return func(_ *World, m *machine) { m.restart(back) }
 }
 
+// agentRestartsInCut: nothing passes between the machine and the controllers, commands that were on their way are
+// held up and answered calls come again, up to by later, and the agent restarts after a while.
+func agentRestartsInCut(l *line) agentFault {
+	after, by, length := l.seconds("after", 2), l.seconds("by", 6), l.duration()
+	return func(w *World, m *machine) {
+		m.faults.commandDelay, m.faults.repeatDelay, m.faults.repeatUntil = by, by, w.now+length
+		w.after(micros.Second, func() { w.startCut(&cut{a: m.name}, length) })
+		w.after(after, func() { m.restart(100 * micros.Millisecond) })
+		w.after(length, func() { m.faults.commandDelay = 0 })
+	}
+}
+
 // delayCommands: commands sent straight to the machine arrive late and in any order.
 func delayCommands(l *line) agentFault {
 	by, length := l.seconds("by", 8), l.duration()
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -89,6 +89,8 @@
 	"agent any slow factor=4",
 	"agent all repeat-commands by=90 for=%d",
 	"agent all repeat-commands by=20 for=60",
+	"agent third restart-in-cut after=2 by=6 for=%d",
+	"agent half restart-in-cut after=5 by=12 for=%d",
 	"cut vm-000001 hold for=%d",
 	"cut vm-000002 for=%d",
 	"cut vm-000001 partition-leader hold for=%d",
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -24,6 +24,10 @@
 		"Second attempts at an active task.", nil, nil)
 	tokenRenewals = prometheus.NewDesc("pipitlatch_token_renewals_total",
 		"New fencing tokens under a lease.", nil, nil)
+	attemptsEnded = prometheus.NewDesc("pipitlatch_attempts_ended_total",
+		"Attempts taken as over, by what showed it.", []string{"evidence"}, nil)
+	replicaWait = prometheus.NewDesc("pipitlatch_silent_machine_replica_seconds_total",
+		"Time from the last contact with machines to the end of their replicas.", nil, nil)
 	storeRevision = prometheus.NewDesc("pipitlatch_store_revision",
 		"Revision of the key-value store that was read.", nil, nil)
 	clusterLeader = prometheus.NewDesc("pipitlatch_cluster_leader",
@@ -41,6 +45,7 @@
 func (c metricsCollector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		commandsSent, callsRejected, repeatedStarts, duplicateAttempts, tokenRenewals,
+		attemptsEnded, replicaWait,
 		storeRevision, clusterLeader, fencingToken, partitionMachines,
 	} {
 		descriptions <- d
@@ -66,6 +71,10 @@
 	counter(repeatedStarts, m.RepeatedStarts)
 	counter(duplicateAttempts, m.DuplicateAttempts)
 	counter(tokenRenewals, m.TokenRenewals)
+	for evidence, ended := range m.AttemptsEnded {
+		counter(attemptsEnded, ended, messages.EndEvidence(evidence).String())
+	}
+	values <- prometheus.MustNewConstMetric(replicaWait, prometheus.CounterValue, micros.Seconds(m.ReplicaWait))
 	gauge(storeRevision, float64(m.StoreRevision))
 	gauge(clusterLeader, boolGauge(m.ClusterLeader))
 	for _, p := range m.Partitions {
--- a/internal/transport/metrics_test.go
+++ b/internal/transport/metrics_test.go
@@ -20,6 +20,8 @@
 			`pipitlatch_commands_sent_total{operation="start"} 0`,
 			"pipitlatch_repeated_starts_total 0",
 			"pipitlatch_duplicate_attempts_total 0",
+			`pipitlatch_attempts_ended_total{evidence="machine removed"} 0`,
+			"pipitlatch_silent_machine_replica_seconds_total 0",
 			"pipitlatch_cluster_leader 0",
 		} {
 			if !strings.Contains(text, metric+"\n") {
