Match the names of submitted fields exactly, and take whole numbers in any valid form

Fields are now decoded by their exact names first, and only the known ones into the struct; messages stay.

Two fuzz targets for what users and agents send.

--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -32,6 +33,62 @@
 	}
 }
 
+// TestSubmissionInAnotherForm guards against sound submissions that are refused, or become another job.
+func TestSubmissionInAnotherForm(t *testing.T) {
+	_, want, err := ParseSubmission([]byte(validSubmission))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, from, to string }{
+		{"unknown field in another case", `"later":[1]`, `"REF":"wk-000999","Shards":"x","OWNER":null`},
+		{"whole number as a fraction", `"shards":16`, `"shards":16.0`},
+		{"whole number with an exponent", `"shards":16`, `"shards":1.6e1`},
+		{"amount with an exponent", `"cores":8.0`, `"cores":80e-1`},
+		{"name repeated", `"later":[1]`, `"shards":16`},
+		{"escaped name and value", `"ref":"wk-000412"`, `"\u0072ef":"wk-\u003000412"`},
+		{"white space first", `{"ref"`, strings.Repeat(" \n", 100) + `{"ref"`},
+		{"deep nesting", `"later":[1]`, `"later":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000)},
+	} {
+		body := strings.Replace(validSubmission, c.from, c.to, 1)
+		if body == validSubmission {
+			t.Errorf("%s: %s isn't in the submission", c.name, c.from)
+		}
+		id, job, err := ParseSubmission([]byte(body))
+		if id != "wk-000412" || err != nil || !reflect.DeepEqual(job, want) {
+			t.Errorf("%s: id %q, job %+v, err %v", c.name, id, job, err)
+		}
+	}
+	names := reflect.TypeFor[submission]()
+	for i := range names.NumField() {
+		if name := names.Field(i).Tag.Get("json"); !slices.Contains(submissionFieldNames, name) {
+			t.Errorf("field %s would be ignored", name)
+		}
+	}
+}
+
+// FuzzParseSubmission checks that no body ends the parser, and that an accepted job has a valid id.
+func FuzzParseSubmission(f *testing.F) {
+	f.Add([]byte(validSubmission))
+	f.Add([]byte(`{"Ref":"wk-1","ref":"wk-2","shards":1e0}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		id, job, err := ParseSubmission(body)
+		if (job == nil) != (err != nil) || (job != nil && (job.ID != id || !ValidJobID(id) || job.Tasks < 1)) {
+			t.Errorf("id %q, job %+v, err %v", id, job, err)
+		}
+	})
+}
+
+// FuzzParseHeartbeat checks that no body ends the parser, and that an accepted heartbeat has a machine and an epoch.
+func FuzzParseHeartbeat(f *testing.F) {
+	f.Add([]byte(`{"host":"vm-1","tenure":1,"tick":2,"warrant":3,"shards":[{"shard":"wk-1/0","try":1,"phase":"running"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		heartbeat, err := ParseHeartbeat(body)
+		if (heartbeat == nil) != (err != nil) || (heartbeat != nil && (heartbeat.Machine == "" || heartbeat.AgentEpoch == 0)) {
+			t.Errorf("heartbeat %+v, err %v", heartbeat, err)
+		}
+	})
+}
+
 func TestMalformedSubmissions(t *testing.T) {
 	for _, c := range []struct{ from, to, id string }{
 		{validSubmission, "", ""}, {validSubmission, "null", ""}, {validSubmission, "[1]", ""},
--- a/internal/protocol/user_submission.go
+++ b/internal/protocol/user_submission.go
@@ -1,10 +1,10 @@
 package protocol
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"regexp"
-	"strings"
 
 	"pipitlatch/internal/micros"
 	"pipitlatch/internal/workload"
@@ -41,40 +41,54 @@
 	WaitsOn        []string `json:"waits_on"`
 }
 
+// submissionFieldNames are the names of a submission's fields. All others are ignored.
+var submissionFieldNames = []string{
+	"ref", "jobclass", "owner", "shape", "rank", "shards", "cores", "gpus", "ram_gb", "bundle", "size_gb", "hulls", "berth",
+	"one_zone", "apart", "loaners", "expect_s", "snapshot_every_s", "snapshot_s", "due_s", "waits_on",
+}
+
 // ParseSubmission decodes and validates a submission. If the id could be decoded, it is returned even
 // with an error, because a resubmission of a known job gets status 200 whatever its other fields are.
 // The error joins one MalformedError for each invalid field.
 func ParseSubmission(body []byte) (id string, job *workload.Job, err error) {
-	id, err = parseJobID(body)
+	fields, err := submissionFields(body)
+	if err != nil {
+		return "", nil, err
+	}
+	id, err = parseJobID(fields["ref"])
 	if err != nil {
 		return "", nil, err
 	}
+	if shards, ok := fields["shards"]; ok {
+		fields["shards"] = wholeNumber(shards)
+	}
 	var s submission
-	if err := json.Unmarshal(body, &s); err != nil {
+	if err := unmarshalFields(fields, submissionFieldNames, &s); err != nil {
 		return id, nil, malformedJSON("a field is invalid", err)
 	}
 	job, err = s.job()
 	return id, job, err
 }
 
-// parseJobID decodes only the id of a submission.
-func parseJobID(body []byte) (string, error) {
-	// Only the first 64 bytes are searched: a body with more leading white space is rejected.
-	prefix := strings.TrimLeft(string(body[:min(len(body), 64)]), " \t\r\n")
-	if !strings.HasPrefix(prefix, "{") {
-		return "", malformed("", "not a JSON object")
-	}
-	var message struct {
-		Ref any `json:"ref"`
+// submissionFields decodes a submission without its fields' values.
+func submissionFields(body []byte) (map[string]json.RawMessage, error) {
+	if !bytes.HasPrefix(bytes.TrimLeft(body, " \t\r\n"), []byte("{")) {
+		return nil, malformed("", "not a JSON object")
 	}
-	if err := json.Unmarshal(body, &message); err != nil {
-		return "", malformedJSON("not JSON", err)
+	fields, err := objectFields(body)
+	if err != nil {
+		return nil, malformedJSON("not JSON", err)
 	}
-	id, ok := message.Ref.(string)
-	if !ok || !ValidJobID(id) {
+	return fields, nil
+}
+
+// parseJobID decodes the id of a submission.
+func parseJobID(value json.RawMessage) (string, error) {
+	var id *string
+	if value == nil || json.Unmarshal(value, &id) != nil || id == nil || !ValidJobID(*id) {
 		return "", malformedField("ref", "missing or not of the form wk-000000")
 	}
-	return id, nil
+	return *id, nil
 }
 
 // job checks the fields in the order in which their errors are listed.
