Close connections whose first request is overdue in favour of new ones

Users and agents saw their connections refused while others sent nothing, half a request or no HTTP: these held every socket for 5 s (header) or 10 s (body), again and again.

At the limit, the connection that has waited longest for its first whole request, and at least 0.5 s, now gives way to a new one. Connections that have sent a request are never closed for that.

--- a/internal/transport/run.go
+++ b/internal/transport/run.go
@@ -60,6 +60,7 @@
 	}
 	server := &http.Server{
 		Handler:           d.routes(bounded),
+		ConnContext:       withConn,
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      10 * time.Second,
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -65,7 +65,8 @@
 	writeJSON(w, status, protocol.EncodeError(reason))
 }
 
-func (d *driver) serveHealth(w http.ResponseWriter, _ *http.Request) {
+func (d *driver) serveHealth(w http.ResponseWriter, r *http.Request) {
+	requestReceived(r)
 	if !d.healthy.Load() || d.monotonicNow()-d.lastStep.Load() > maxStepAge {
 		writeRetryable(w, http.StatusServiceUnavailable, "not ready", micros.Second)
 		return
@@ -77,6 +78,7 @@
 func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	if err == nil {
+		requestReceived(r)
 		return body, true
 	}
 	reason := "body cannot be read"
@@ -130,6 +132,7 @@
 }
 
 func (d *driver) lookup(w http.ResponseWriter, r *http.Request) {
+	requestReceived(r)
 	id := chi.URLParam(r, "id")
 	if !protocol.ValidJobID(id) {
 		writeJSON(w, http.StatusNotFound, protocol.EncodeError("no such job"))
@@ -141,6 +144,7 @@
 }
 
 func (d *driver) abort(w http.ResponseWriter, r *http.Request) {
+	requestReceived(r)
 	id := chi.URLParam(r, "id")
 	if !protocol.ValidJobID(id) {
 		writeJSON(w, http.StatusNotFound, protocol.EncodeError("no such job"))
