--- a/internal/coordination/messages/evidence.go
+++ b/internal/coordination/messages/evidence.go
@@ -4,15 +4,15 @@
 type EndEvidence uint8
 
 const (
-	// EndReported: a heartbeat of the agent's known process reported the attempt as exited or refused.
+	// EndReported means: a heartbeat of the agent's known process reported the attempt as exited or refused.
 	EndReported EndEvidence = iota
-	// EndNotStarted: a heartbeat of that process lacks the attempt, and rejects every start of it still under way.
+	// EndNotStarted means: a heartbeat of that process lacks the attempt, and rejects every start of it still under way.
 	EndNotStarted
-	// EndLaterEpoch: a heartbeat of a later agent epoch.
+	// EndLaterEpoch means: a heartbeat of a later agent epoch.
 	EndLaterEpoch
-	// EndLeaseExpired: the agent lease expired; it ends no attempt whose start was sent.
+	// EndLeaseExpired means: the agent lease expired; it ends no attempt whose start was sent.
 	EndLeaseExpired
-	// EndMachineRemoved: the cloud confirmed the machine's termination, or the machine moved to another partition.
+	// EndMachineRemoved means: the cloud confirmed the machine's termination, or the machine moved to another partition.
 	EndMachineRemoved
 	endEvidenceCount
 )
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -80,10 +80,11 @@
 
 // FuzzParseHeartbeat checks that no body ends the parser, and that an accepted heartbeat has a machine and an epoch.
 func FuzzParseHeartbeat(f *testing.F) {
-	f.Add([]byte(`{"host":"vm-1","tenure":1,"tick":2,"warrant":3,"shards":[{"shard":"wk-1/0","try":1,"phase":"running"}]}`))
+	f.Add([]byte(`{"host":"vm-1","tenure":1,"tick":2,"warrant":3,"shards":[{"shard":"wk-1/0","try":1,"phase":"saving"}]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		heartbeat, err := ParseHeartbeat(body)
-		if (heartbeat == nil) != (err != nil) || (heartbeat != nil && (heartbeat.Machine == "" || heartbeat.AgentEpoch == 0)) {
+		valid := heartbeat != nil && heartbeat.Machine != "" && heartbeat.AgentEpoch != 0
+		if valid != (err == nil) {
 			t.Errorf("heartbeat %+v, err %v", heartbeat, err)
 		}
 	})
--- a/internal/protocol/user_submission.go
+++ b/internal/protocol/user_submission.go
@@ -43,8 +43,8 @@
 
 // submissionFieldNames are the names of a submission's fields. All others are ignored.
 var submissionFieldNames = []string{
-	"ref", "jobclass", "owner", "shape", "rank", "shards", "cores", "gpus", "ram_gb", "bundle", "size_gb", "hulls", "berth",
-	"one_zone", "apart", "loaners", "expect_s", "snapshot_every_s", "snapshot_s", "due_s", "waits_on",
+	"ref", "jobclass", "owner", "shape", "rank", "shards", "cores", "gpus", "ram_gb", "bundle", "size_gb", "hulls",
+	"berth", "one_zone", "apart", "loaners", "expect_s", "snapshot_every_s", "snapshot_s", "due_s", "waits_on",
 }
 
 // ParseSubmission decodes and validates a submission. If the id could be decoded, it is returned even
--- a/internal/transport/slow_requests_test.go
+++ b/internal/transport/slow_requests_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -31,7 +31,7 @@
 				t.Fatalf("status %d of a malformed heartbeat", status)
 			}
 			for range connections {
-				fmt.Fprint(dial(t, addr), c.sent)
+				_, _ = io.WriteString(dial(t, addr), c.sent) // the controller may have refused the connection
 			}
 			time.Sleep(2 * requestGrace)
 			if status := request(t, agent, "/v1/report", answeredIn); status != http.StatusBadRequest {
